--- a/src/bin/vetchhollow-wirehost/main.rs
+++ b/src/bin/micabeam-adapter/main.rs
@@ -3,17 +3,17 @@
 #![forbid(unsafe_code)]
 
 mod frame;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Read, Write};
 use std::process::ExitCode;
 
 use frame::{Reader, Writer};
-use vetchhollow::Dispatcher;
-use vetchhollow::api::{
+use micabeam::Dispatcher;
+use micabeam::api::{
     Action, Ended, Event, Job, JobId, Member, MemberState, Micros, Outcome, Report, WorkerId,
 };
+use micabeam::settings::Site;
 
 /// Lists are numbered from 0 to one less than this.
 const LISTS: usize = 16;
@@ -21,7 +21,7 @@
 /// One dispatcher and what the adapter needs to read its events.
 struct Instance {
     dispatcher: Dispatcher,
-    fields: Vec<settings::Field>,
+    site: Site,
 }
 
 /// All that one process holds: dispatchers, which share nothing, and the lists that events refer to.
@@ -36,7 +36,7 @@
     match run(&mut BufReader::with_capacity(1 << 16, io::stdin().lock()), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("vetchhollow-wirehost: {message}");
+            eprintln!("micabeam-adapter: {message}");
             ExitCode::from(2)
         }
     }
@@ -82,8 +82,9 @@
             1 => {
                 let seed = r.u64()?;
                 let length = r.u32()? as usize;
-                let (settings, fields) = settings::read(r.bytes(length)?)?;
-                self.instances.insert(id, Instance { dispatcher: Dispatcher::new(settings, seed), fields });
+                let site = Site::parse(r.bytes(length)?)?;
+                let dispatcher = Dispatcher::new(site.settings.clone(), seed);
+                self.instances.insert(id, Instance { dispatcher, site });
                 return Ok(());
             }
             10 => {
@@ -123,7 +124,7 @@
                 let latency = r.u32()?.into();
                 let finished = r.u8()? != 0;
                 let _remark = r.u32()?;
-                let report = report(r, &instance.fields)?;
+                let report = report(r, &instance.site)?;
                 Event::Ended(Ended { job, attempt, worker, outcome, latency, finished, report })
             }
             6 => Event::ClientLeft(JobId(r.u64()?)),
@@ -132,7 +133,7 @@
                 worker: worker(r)?,
                 answered: r.u16()? == 0,
                 latency: r.u32()?.into(),
-                report: report(r, &instance.fields)?,
+                report: report(r, &instance.site)?,
             },
             12 => {
                 let job = JobId(r.u64()?);
@@ -207,19 +208,10 @@
     }
 }
 
-fn report(r: &mut Reader, fields: &[settings::Field]) -> Result<Report, String> {
-    let mut report = Report::default();
+fn report(r: &mut Reader, site: &Site) -> Result<Report, String> {
     let count = usize::from(r.u8()?);
-    for at in 0..count {
-        let value = r.f32()?;
-        match fields.get(at) {
-            Some(settings::Field::FreeSlots) => report.free_slots = Some(value),
-            Some(settings::Field::Held) => report.held = Some(value),
-            Some(settings::Field::Queue) => report.queue = Some(value),
-            Some(settings::Field::Other) | None => {}
-        }
-    }
-    Ok(report)
+    let values: Vec<f64> = (0..count).map(|_| r.f32()).collect::<Result<_, _>>()?;
+    Ok(site.report(values))
 }
 
 /// A span as the wire holds it: what is longer than it can say is cut.
--- /dev/null
+++ b/src/core/clock.rs
@@ -0,0 +1,54 @@
+//! The one clock: milliseconds since the Unix epoch, as a floating-point number.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use crate::api::Micros;
+
+/// Tells the time; copies tell the same. It never runs backwards.
+#[derive(Clone)]
+pub struct Clock(Rc<Source>);
+
+enum Source {
+    System { epoch: f64, start: Instant },
+    Manual(Cell<f64>),
+}
+
+impl Clock {
+    /// The machine's time, read once and carried on by the monotonic clock.
+    pub fn system() -> Clock {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1e3);
+        Clock(Rc::new(Source::System { epoch, start: Instant::now() }))
+    }
+
+    /// A clock that stands still until it is set.
+    pub fn manual(now: f64) -> Clock {
+        Clock(Rc::new(Source::Manual(Cell::new(now))))
+    }
+
+    /// Sets a manual clock; one that runs by itself, or a time that has passed, is left alone.
+    pub fn set(&self, now: f64) {
+        if let Source::Manual(time) = &*self.0 {
+            time.set(time.get().max(now));
+        }
+    }
+
+    /// Now, in milliseconds.
+    pub fn now(&self) -> f64 {
+        match &*self.0 {
+            Source::System { epoch, start } => epoch + start.elapsed().as_secs_f64() * 1e3,
+            Source::Manual(time) => time.get(),
+        }
+    }
+}
+
+/// Milliseconds as the module's microseconds. All conversion is here.
+pub fn micros(ms: f64) -> Micros {
+    (ms * 1e3).round().max(0.0) as Micros
+}
+
+/// The module's microseconds as milliseconds.
+pub fn millis(micros: Micros) -> f64 {
+    micros as f64 / 1e3
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,202 @@
+//! The core: sessions, the server table and the decision module. It knows no socket and no wire. A front
+//! hands it plain events and carries out the commands that come of them.
+
+mod clock;
+mod counters;
+mod session;
+mod stages;
+mod table;
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+
+pub use clock::{Clock, micros, millis};
+pub use counters::Counters;
+pub use session::{Dispatch, Request, Session, SessionId, Verdict};
+pub use table::{Line, Server, ServerTable};
+
+use crate::Dispatcher;
+use crate::api::{Action, Event, Outcome, Report, WorkerId};
+use crate::settings::Site;
+
+/// What a front is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send a dispatch to a backend server.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// Number of the dispatch.
+        attempt: usize,
+        /// The backend server.
+        server: WorkerId,
+    },
+    /// Call a dispatch off; it has ended as far as the core goes.
+    Cancel {
+        /// The session.
+        session: SessionId,
+        /// Number of the dispatch.
+        attempt: usize,
+    },
+    /// Give a session its one final answer.
+    Answer {
+        /// The session.
+        session: SessionId,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Probe a backend server.
+    Probe {
+        /// The backend server.
+        server: WorkerId,
+    },
+    /// Start a watch of the list.
+    Subscribe,
+}
+
+/// The core of one front.
+pub struct Core {
+    clock: Clock,
+    site: Site,
+    module: Dispatcher,
+    table: ServerTable,
+    sessions: FxHashMap<SessionId, Session>,
+    limit: usize,
+    last: SessionId,
+    wake_at: Option<f64>,
+    /// Sessions that ended while the module's present answer is carried out.
+    ended: Vec<SessionId>,
+    actions: Vec<Action>,
+    commands: VecDeque<Command>,
+    counters: Counters,
+    stopping: bool,
+}
+
+impl Core {
+    /// A core with an empty server table that holds so many sessions at most.
+    pub fn new(site: Site, seed: u64, clock: Clock, limit: usize) -> Core {
+        Core {
+            module: Dispatcher::new(site.settings.clone(), seed),
+            clock,
+            site,
+            table: ServerTable::default(),
+            sessions: FxHashMap::default(),
+            limit,
+            last: 0,
+            wake_at: None,
+            ended: Vec::new(),
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+            counters: Counters::default(),
+            stopping: false,
+        }
+    }
+
+    /// Takes a request in. Without an id it was turned away, and the verdict is its answer.
+    pub fn request(&mut self, request: Request) -> Result<SessionId, Verdict> {
+        let id = stages::take_in::take_in(self);
+        stages::admit::admit(self, &request)?;
+        stages::route::arrive(self, id, request);
+        Ok(id)
+    }
+
+    /// A session's client has left.
+    pub fn client_left(&mut self, session: SessionId) {
+        stages::book::client_left(self, session);
+    }
+
+    /// A dispatch has ended; `result` is what it served. False if it was over already.
+    pub fn ended(
+        &mut self,
+        session: SessionId,
+        attempt: usize,
+        outcome: Outcome,
+        report: Report,
+        result: Vec<u8>,
+    ) -> bool {
+        stages::relay::ended(self, session, attempt, outcome, report, result)
+    }
+
+    /// A dispatch's job was started by its backend server.
+    pub fn started(&mut self, session: SessionId, attempt: usize) {
+        stages::relay::started(self, session, attempt);
+    }
+
+    /// The list as last held before a restart.
+    pub fn known(&mut self, lines: Vec<Line>) {
+        let members = self.table.apply(lines, true);
+        stages::route::drive(self, Event::Cached(&members));
+    }
+
+    /// The whole list, or its changes.
+    pub fn listed(&mut self, lines: Vec<Line>, whole: bool) {
+        self.counters.lists += 1;
+        let members = self.table.apply(lines, whole);
+        stages::route::drive(self, if whole { Event::List(&members) } else { Event::Changes(&members) });
+    }
+
+    /// A call to discovery has failed, or the watch broke.
+    pub fn list_failed(&mut self) {
+        self.counters.list_failures += 1;
+        stages::route::drive(self, Event::ListFailed);
+    }
+
+    /// A probe has come back, or has not in good time.
+    pub fn probed(&mut self, worker: WorkerId, answered: bool, latency: f64, report: Report) {
+        stages::route::drive(self, Event::Probed { worker, answered, latency: micros(latency), report });
+    }
+
+    /// Lets the module know that time has passed, if it asked for that.
+    pub fn tick(&mut self) {
+        if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
+            self.wake_at = None;
+            stages::route::drive(self, Event::Wake);
+        }
+    }
+
+    /// When `tick` is to be called next.
+    pub fn wake_at(&self) -> Option<f64> {
+        self.wake_at
+    }
+
+    /// The next command for the front.
+    pub fn next_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// From now on new requests are denied.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Sessions that have had no answer.
+    pub fn open(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// A session that is open.
+    pub fn session(&self, id: SessionId) -> Option<&Session> {
+        self.sessions.get(&id)
+    }
+
+    /// The server table.
+    pub fn table(&self) -> &ServerTable {
+        &self.table
+    }
+
+    /// The settings.
+    pub fn site(&self) -> &Site {
+        &self.site
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// The counts.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+}
--- /dev/null
+++ b/src/core/session.rs
@@ -0,0 +1,55 @@
+//! Sessions and their dispatches.
+
+use crate::api::WorkerId;
+
+/// A session's id; the module's job carries the same.
+pub type SessionId = u64;
+
+/// What a front hands in.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Its class, by index.
+    pub class: usize,
+    /// When its client gives up.
+    pub due: f64,
+    /// Slots that it takes.
+    pub slots: f64,
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Served, with the backend server's result.
+    Served(Vec<u8>),
+    /// Denied: trying again does no harm. Advice when to come back in milliseconds; 0: none.
+    Denied {
+        /// The advice.
+        retry_after: f64,
+    },
+    /// Failed; nothing is promised.
+    Failed,
+}
+
+/// One dispatch of a session.
+#[derive(Clone, Copy, Debug)]
+pub struct Dispatch {
+    /// The backend server.
+    pub server: WorkerId,
+    /// When it was sent.
+    pub sent: f64,
+    /// It has not ended.
+    pub out: bool,
+    /// It is known never to have run.
+    pub never_ran: bool,
+}
+
+/// A request from the time it was taken until its one final answer.
+#[derive(Debug)]
+pub struct Session {
+    /// What was asked.
+    pub request: Request,
+    /// Its dispatches; the module counts them in the same order.
+    pub dispatches: Vec<Dispatch>,
+    /// It has had its answer, or its client left.
+    pub over: bool,
+}
--- /dev/null
+++ b/src/core/stages/admit.rs
@@ -0,0 +1,17 @@
+//! Admit: what the program itself cannot hold is denied before the module sees it.
+
+use crate::core::{Core, Request, Verdict};
+
+/// Guards against more sessions than memory is planned for, and against new ones while the program stops.
+/// Nothing was sent, so that a denial is harmless for any class.
+pub fn admit(core: &mut Core, request: &Request) -> Result<(), Verdict> {
+    let full = core.sessions.len() >= core.limit;
+    let late = request.due <= core.clock.now();
+    if !(full || late || core.stopping) {
+        return Ok(());
+    }
+    core.counters.turned_away += 1;
+    // A full dispatcher has room again when sessions end; one that stops has gone by then.
+    let retry_after = if full { core.site.max_retry_after } else { 0.0 };
+    Err(Verdict::Denied { retry_after })
+}
--- /dev/null
+++ b/src/core/stages/book.rs
@@ -0,0 +1,34 @@
+//! Book: a session's one final answer, and its end.
+
+use crate::api::{Event, JobId};
+use crate::core::stages::route;
+use crate::core::{Command, Core, SessionId, Verdict};
+
+/// Gives a session its final answer. Only the first counts.
+pub fn answer(core: &mut Core, id: SessionId, verdict: Verdict) {
+    let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
+    session.over = true;
+    core.ended.push(id);
+    match verdict {
+        Verdict::Served(_) => core.counters.served += 1,
+        Verdict::Denied { .. } => core.counters.denied += 1,
+        Verdict::Failed => core.counters.failed += 1,
+    }
+    core.commands.push_back(Command::Answer { session: id, verdict });
+}
+
+/// The client has left: nothing is owed any more, and the module calls off what is out.
+pub fn client_left(core: &mut Core, id: SessionId) {
+    let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
+    session.over = true;
+    core.ended.push(id);
+    core.counters.left += 1;
+    route::drive(core, Event::ClientLeft(JobId(id)));
+}
+
+/// Forgets sessions that are over, once the module has called off their other dispatches.
+pub fn forget(core: &mut Core) {
+    for id in core.ended.drain(..) {
+        core.sessions.remove(&id);
+    }
+}
--- /dev/null
+++ b/src/core/stages/route.rs
@@ -0,0 +1,38 @@
+//! Route: the module decides. All its events pass here, and all its actions leave here.
+
+use crate::api::{Action, Event, Job, JobId};
+use crate::core::stages::{book, send};
+use crate::core::{Core, Request, Session, SessionId, Verdict, micros, millis};
+
+/// Hands a new session to the module.
+pub fn arrive(core: &mut Core, id: SessionId, request: Request) {
+    core.sessions.insert(id, Session { request, dispatches: Vec::new(), over: false });
+    let job = Job { id: JobId(id), class: request.class, due: micros(request.due), slots: request.slots };
+    drive(core, Event::Job(job));
+}
+
+/// Drives the module with one event and carries its actions on.
+pub fn drive(core: &mut Core, event: Event<'_>) {
+    let now = micros(core.clock.now());
+    let mut actions = std::mem::take(&mut core.actions);
+    core.module.handle(now, event, &mut actions);
+    for action in actions.drain(..) {
+        match action {
+            Action::Send { job, worker } => send::send(core, job.0, worker),
+            Action::Cancel { job, attempt } => send::cancel(core, job.0, attempt),
+            Action::Refuse { job, retry_after } => {
+                let retry_after = millis(retry_after).min(core.site.max_retry_after);
+                book::answer(core, job.0, Verdict::Denied { retry_after });
+            }
+            Action::Fail { job } => book::answer(core, job.0, Verdict::Failed),
+            Action::Probe { worker } => send::probe(core, worker),
+            Action::Subscribe => send::subscribe(core),
+            Action::WakeAt(at) => {
+                let at = millis(at);
+                core.wake_at = Some(core.wake_at.map_or(at, |earlier| earlier.min(at)));
+            }
+        }
+    }
+    core.actions = actions;
+    book::forget(core);
+}
--- /dev/null
+++ b/src/core/stages/send.rs
@@ -0,0 +1,34 @@
+//! Send: a decision becomes a dispatch, and a command for the front.
+
+use crate::api::WorkerId;
+use crate::core::{Command, Core, Dispatch, SessionId};
+
+/// Records a dispatch and has it sent.
+pub fn send(core: &mut Core, id: SessionId, server: WorkerId) {
+    let sent = core.clock.now();
+    let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
+    let attempt = session.dispatches.len();
+    session.dispatches.push(Dispatch { server, sent, out: true, never_ran: false });
+    core.counters.sent += 1;
+    core.commands.push_back(Command::Send { session: id, attempt, server });
+}
+
+/// Calls a dispatch off.
+pub fn cancel(core: &mut Core, id: SessionId, attempt: usize) {
+    let dispatch = core.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(attempt));
+    let Some(dispatch) = dispatch.filter(|d| d.out) else { return };
+    dispatch.out = false;
+    core.counters.cancelled += 1;
+    core.commands.push_back(Command::Cancel { session: id, attempt });
+}
+
+/// Has a backend server probed.
+pub fn probe(core: &mut Core, server: WorkerId) {
+    core.counters.probes += 1;
+    core.commands.push_back(Command::Probe { server });
+}
+
+/// Has a watch of the list started.
+pub fn subscribe(core: &mut Core) {
+    core.commands.push_back(Command::Subscribe);
+}
--- /dev/null
+++ b/src/core/stages/take_in.rs
@@ -0,0 +1,10 @@
+//! Take in: from here on the request is owed one final answer.
+
+use crate::core::{Core, SessionId};
+
+/// Counts a request and gives it an id that is never used again.
+pub fn take_in(core: &mut Core) -> SessionId {
+    core.counters.taken += 1;
+    core.last += 1;
+    core.last
+}
--- /dev/null
+++ b/src/core/table.rs
@@ -0,0 +1,95 @@
+//! The server table: the backend servers that the list has named, under the names that the wire gives them.
+
+use rustc_hash::FxHashMap;
+
+use crate::api::{Member, MemberState, WorkerId};
+
+/// Most backend servers ever remembered.
+const MOST: usize = 4096;
+
+/// A line of the list, as a front reads it.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Name of the backend server, the same after a restart.
+    pub name: String,
+    /// Where its front finds it; the core only keeps it.
+    pub address: String,
+    /// What the module is told of it; its id is filled in here.
+    pub member: Member,
+}
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its line as last read.
+    pub line: Line,
+}
+
+/// The server table.
+#[derive(Default)]
+pub struct ServerTable {
+    ids: FxHashMap<String, WorkerId>,
+    servers: FxHashMap<WorkerId, Server>,
+}
+
+impl ServerTable {
+    /// Takes lines in and gives them as the module reads them.
+    pub fn apply(&mut self, lines: Vec<Line>, whole: bool) -> Vec<Member> {
+        if whole {
+            self.servers.values_mut().for_each(|s| s.line.member.state = MemberState::Gone);
+        }
+        let mut members = Vec::with_capacity(lines.len());
+        for mut line in lines {
+            let id = match self.id(&line.name) {
+                Some(id) => id,
+                None if self.ids.len() >= MOST && !self.forget() => continue,
+                None => self.name(&line.name),
+            };
+            line.member.worker = id;
+            members.push(line.member);
+            self.servers.insert(id, Server { line });
+        }
+        members
+    }
+
+    /// An id that every dispatcher makes of the same name, so that the fixed order is the same at all of them.
+    fn name(&mut self, name: &str) -> WorkerId {
+        let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+        let mut id = WorkerId(hash);
+        while self.servers.contains_key(&id) {
+            id = WorkerId(id.0.wrapping_add(1));
+        }
+        self.ids.insert(name.to_string(), id);
+        id
+    }
+
+    /// Makes room by forgetting a backend server that is gone.
+    fn forget(&mut self) -> bool {
+        let gone = self.servers.iter().find(|(_, s)| s.line.member.state == MemberState::Gone);
+        let Some((&id, _)) = gone else { return false };
+        if let Some(server) = self.servers.remove(&id) {
+            self.ids.remove(&server.line.name);
+        }
+        true
+    }
+
+    /// A backend server by its id.
+    pub fn get(&self, id: WorkerId) -> Option<&Server> {
+        self.servers.get(&id)
+    }
+
+    /// A backend server's id by its name.
+    pub fn id(&self, name: &str) -> Option<WorkerId> {
+        self.ids.get(name).copied()
+    }
+
+    /// All that are not gone, in the order of their names.
+    pub fn listed(&self) -> Vec<&Server> {
+        let present = |s: &&Server| s.line.member.state != MemberState::Gone;
+        let mut listed: Vec<&Server> = self.servers.values().filter(present).collect();
+        listed.sort_unstable_by(|a, b| a.line.name.cmp(&b.line.name));
+        listed
+    }
+}
--- /dev/null
+++ b/src/front/platform/callbacks.rs
@@ -0,0 +1,69 @@
+//! Call-backs: what booking workers tell of the jobs that they took.
+
+use super::Platform;
+use crate::api::{Outcome, Report};
+use crate::json::{self, JsonValue, field, text};
+
+impl Platform {
+    /// Reads one call. False where it is malformed; what is unknown, repeated or late is acknowledged all the
+    /// same, since the caller would only try again.
+    pub(super) fn call_back(&mut self, body: &[u8]) -> bool {
+        let Ok(call) = json::parse(body) else { return false };
+        let (Some(id), Some(from), Some(state)) =
+            (text(&call, "id"), text(&call, "from"), text(&call, "state"))
+        else {
+            return false;
+        };
+        // Guards against a late call from a dispatch that was given up: both the id and the sender must match
+        // a dispatch that is still out.
+        let server = self.core.table().id(from);
+        let session = self.ids.get(id).copied();
+        let Some((session, attempt)) = session.zip(server).and_then(|(session, server)| {
+            let dispatches = &self.core.session(session)?.dispatches;
+            let attempt = dispatches.iter().rposition(|d| d.out && d.server == server)?;
+            Some((session, attempt))
+        }) else {
+            return true;
+        };
+        let outcome = match state {
+            "started" => {
+                self.core.started(session, attempt);
+                return true;
+            }
+            "done" => Outcome::Served,
+            "failed" => Outcome::Error,
+            "returned" => Outcome::Full,
+            "lost" => Outcome::Reset,
+            _ => return true,
+        };
+        let report = field(&call, "load").map_or(Report::default(), |load| self.load(load));
+        let result = match field(&call, "result") {
+            Some(JsonValue::String(result)) => result.clone().into_bytes(),
+            Some(other) => other.stringify().unwrap_or_default().into_bytes(),
+            None => Vec::new(),
+        };
+        // The answer to the dispatch itself may be on its way yet: its connection waits for that.
+        self.detach((session, attempt));
+        self.core.ended(session, attempt, outcome, report, result);
+        true
+    }
+
+    /// A load report that is a JSON object.
+    pub(super) fn load(&self, load: &JsonValue) -> Report {
+        let Some(fields) = load.get::<std::collections::HashMap<String, JsonValue>>() else {
+            return Report::default();
+        };
+        let numbers = fields.iter().filter_map(|(name, v)| Some((name.as_str(), *v.get::<f64>()?)));
+        self.core.site().named_report(numbers)
+    }
+
+    /// A load report in the form `inflight=7,queue=2`.
+    pub(super) fn load_text(&self, text: &str) -> Report {
+        let pair = |pair: &'_ str| {
+            let (name, value) = pair.split_once('=')?;
+            Some((name.trim().to_string(), value.trim().parse().ok()?))
+        };
+        let pairs: Vec<(String, f64)> = text.split(',').filter_map(pair).collect();
+        self.core.site().named_report(pairs.iter().map(|(name, value)| (name.as_str(), *value)))
+    }
+}
--- /dev/null
+++ b/src/front/platform/clients.rs
@@ -0,0 +1,317 @@
+//! Clients: their connections, their requests, and the answers. Call-backs come to the same address.
+
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+
+use super::{Job, Platform};
+use crate::core::{Request, SessionId, Verdict};
+use crate::front::Sockets;
+use crate::net::ConnId;
+use crate::net::http::{self, Bad, Message};
+
+/// How long the end of a connection waits for the peer to end its side, in milliseconds.
+const LINGER: f64 = 1000.0;
+/// Longest wait that a client can ask for, in milliseconds.
+const PATIENCE: f64 = 3_600_000.0;
+/// Headers that pass on to a backend server, with those that start with `Req-`.
+const PASSED: [&str; 2] = ["content-type", "accept"];
+
+/// One connection that was accepted.
+struct Client {
+    session: Option<SessionId>,
+    /// Since when it has had nothing to do.
+    idle: f64,
+    /// It has brought call-backs, which go on to come while the program stops.
+    calls_back: bool,
+    /// Its last answer is written; it ends by then.
+    ends: Option<f64>,
+}
+
+/// All of them.
+pub(super) struct Clients {
+    pub listener: usize,
+    most: usize,
+    conns: FxHashMap<ConnId, Client>,
+    ending: usize,
+    /// Connections that were answered and not looked at since.
+    pub answered: Vec<ConnId>,
+}
+
+impl Clients {
+    pub fn new(listener: usize, most: usize) -> Clients {
+        Clients { listener, most, conns: FxHashMap::default(), ending: 0, answered: Vec::new() }
+    }
+
+    pub fn owns(&self, conn: ConnId) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    /// When the next ending connection has waited long enough.
+    pub fn next(&self) -> f64 {
+        if self.ending == 0 {
+            return f64::INFINITY;
+        }
+        self.conns.values().filter_map(|c| c.ends).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Whether every answer is written.
+    pub fn all_written(&self, net: &mut Sockets) -> bool {
+        self.conns.keys().all(|&id| net.conn(id).is_none_or(|conn| conn.tx.is_empty() || conn.broken))
+    }
+
+    /// The connection that has had nothing to do for longest.
+    fn idlest(&self) -> Option<ConnId> {
+        let idle = self.conns.iter().filter(|(_, c)| c.session.is_none());
+        idle.min_by(|a, b| a.1.idle.total_cmp(&b.1.idle)).map(|(&id, _)| id)
+    }
+}
+
+/// The time in a header such as `480m` or `9500u`, in milliseconds.
+fn span(text: &str) -> Option<f64> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number: u64 = number.parse().ok()?;
+    match unit {
+        "m" => Some(number as f64),
+        "u" => Some(number as f64 / 1e3),
+        _ => None,
+    }
+}
+
+impl Platform {
+    /// Accepts what waits. At the limit the connection that has been idle longest makes room: the backlog
+    /// counts as taken, so that nothing may be left in it.
+    pub fn accept(&mut self, net: &mut Sockets) {
+        for _ in 0..64 {
+            if self.clients.conns.len() >= self.clients.most {
+                match self.clients.idlest() {
+                    Some(idle) => self.drop_client(net, idle),
+                    None => return,
+                }
+            }
+            let Some(id) = net.accept(self.clients.listener) else { return };
+            let idle = self.core.clock().now();
+            self.clients.conns.insert(id, Client { session: None, idle, calls_back: false, ends: None });
+        }
+    }
+
+    pub(super) fn client_ready(&mut self, net: &mut Sockets, id: ConnId) {
+        loop {
+            let Some(conn) = net.conn(id) else { return };
+            conn.pump();
+            let (gone, closing, written) = (conn.eof || conn.broken, conn.closing, conn.tx.is_empty());
+            if closing {
+                conn.rx.consume(conn.rx.len());
+                if gone {
+                    self.drop_client(net, id);
+                } else if written {
+                    self.linger(net, id);
+                }
+                return;
+            }
+            if gone {
+                return self.drop_client(net, id);
+            }
+            if self.clients.conns.get(&id).is_none_or(|c| c.session.is_some()) {
+                return;
+            }
+            match http::request(&mut conn.rx) {
+                Ok(None) => return,
+                Ok(Some(message)) => self.request(net, id, message),
+                Err(bad) => {
+                    let status = match bad {
+                        Bad::Malformed => 400,
+                        Bad::TooLarge => 413,
+                        Bad::Unsupported => 501,
+                    };
+                    self.reply(net, id, status, &[], b"", true);
+                }
+            }
+        }
+    }
+
+    /// Ends a connection gently: a close with bytes unread would take the answer back.
+    fn linger(&mut self, net: &mut Sockets, id: ConnId) {
+        let now = self.core.clock().now();
+        let Some(client) = self.clients.conns.get_mut(&id).filter(|c| c.ends.is_none()) else { return };
+        client.ends = Some(now + LINGER);
+        self.clients.ending += 1;
+        if let Some(conn) = net.conn(id) {
+            conn.end_writing();
+        }
+    }
+
+    fn drop_client(&mut self, net: &mut Sockets, id: ConnId) {
+        net.close(id);
+        let Some(client) = self.clients.conns.remove(&id) else { return };
+        self.clients.ending -= usize::from(client.ends.is_some());
+        if let Some(session) = client.session {
+            self.forget(session);
+            self.core.client_left(session);
+        }
+    }
+
+    /// Ends connections whose peers do not end them.
+    pub(super) fn sweep_clients(&mut self, net: &mut Sockets, now: f64) {
+        if self.clients.next() <= now {
+            let due = |c: &Client| c.ends.is_some_and(|at| at <= now);
+            let over = self.clients.conns.iter().filter(|(_, c)| due(c)).map(|(&id, _)| id);
+            for id in over.collect::<Vec<_>>() {
+                self.drop_client(net, id);
+            }
+        }
+    }
+
+    /// Closes what clients hold without a request, so that they go elsewhere.
+    pub(super) fn close_idle(&mut self, net: &mut Sockets) {
+        let idle = |c: &Client| c.session.is_none() && c.ends.is_none() && !c.calls_back;
+        let idle = self.clients.conns.iter().filter(|(_, c)| idle(c)).map(|(&id, _)| id);
+        for id in idle.collect::<Vec<_>>() {
+            // What has come by now is read first, and denied.
+            self.client_ready(net, id);
+            let done = net.conn(id).is_none_or(|conn| conn.tx.is_empty() && conn.rx.is_empty());
+            if done && self.clients.conns.get(&id).is_some_and(idle_now) {
+                self.drop_client(net, id);
+            }
+        }
+    }
+
+    fn request(&mut self, net: &mut Sockets, id: ConnId, message: Message) {
+        let path = message.target.split('?').next().unwrap_or("").to_string();
+        let close = message.close;
+        match (message.method.as_str(), path.as_str()) {
+            ("GET", "/up") => self.reply(net, id, 200, &[], b"ready\n", close),
+            ("GET", "/counters") => {
+                let text = self.core.counters().to_string();
+                self.reply(net, id, 200, &[], text.as_bytes(), close);
+            }
+            ("POST", "/v1/job-events") => {
+                if let Some(client) = self.clients.conns.get_mut(&id) {
+                    client.calls_back = true;
+                }
+                let status = if self.call_back(&message.body) { 204 } else { 400 };
+                self.reply(net, id, status, &[], b"", close);
+            }
+            ("POST", _) => self.job(net, id, &path, message),
+            _ => self.reply(net, id, 405, &[("Allow", "POST".into())], b"", close),
+        }
+    }
+
+    fn job(&mut self, net: &mut Sockets, id: ConnId, path: &str, message: Message) {
+        let now = self.core.clock().now();
+        let close = message.close;
+        let name = path.split('/').nth(1).unwrap_or("");
+        let Some(class) = self.core.site().grades.iter().position(|g| g.name == name && !name.is_empty())
+        else {
+            return self.reply(net, id, 404, &[], b"unknown class\n", close);
+        };
+        let wait = match message.header("req-deadline") {
+            Some(text) => span(text),
+            None => Some(self.core.site().grades[class].hard_limit),
+        };
+        let req_id = message.header("req-id").filter(|id| !id.is_empty() && !self.ids.contains_key(*id));
+        let (Some(wait), Some(req_id)) = (wait, req_id) else {
+            return self.reply(net, id, 400, &[], b"Req-Id or Req-Deadline does not read\n", close);
+        };
+        let slots = message.header("req-extra").and_then(slots).unwrap_or(1.0);
+        let req_id: Rc<str> = req_id.into();
+        let passed = |name: &str| {
+            let name = name.to_ascii_lowercase();
+            let own = name == "req-id" || name == "req-deadline";
+            !own && (name.starts_with("req-") || PASSED.contains(&name.as_str()))
+        };
+        let due = now + wait.min(PATIENCE);
+        match self.core.request(Request { class, due, slots }) {
+            Err(verdict) => self.say(net, id, verdict, close),
+            Ok(session) => {
+                let headers = message.headers.into_iter().filter(|(name, _)| passed(name)).collect();
+                let (target, body) = (message.target, message.body);
+                self.ids.insert(Rc::clone(&req_id), session);
+                self.jobs.insert(session, Job { client: id, id: req_id, target, headers, body });
+                if let (Some(conn), true) = (net.conn(id), close) {
+                    conn.last = true;
+                }
+                if let Some(client) = self.clients.conns.get_mut(&id) {
+                    client.session = Some(session);
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self, session: SessionId) -> Option<Job> {
+        let job = self.jobs.remove(&session)?;
+        self.ids.remove(&job.id);
+        Some(job)
+    }
+
+    /// Gives a session its final answer.
+    pub(super) fn answer(&mut self, net: &mut Sockets, session: SessionId, verdict: Verdict) {
+        let Some(job) = self.forget(session) else { return };
+        let now = self.core.clock().now();
+        if let Some(client) = self.clients.conns.get_mut(&job.client) {
+            (client.session, client.idle) = (None, now);
+        }
+        let close = net.conn(job.client).is_some_and(|conn| conn.last);
+        self.say(net, job.client, verdict, close);
+        self.clients.answered.push(job.client);
+    }
+
+    fn say(&mut self, net: &mut Sockets, id: ConnId, verdict: Verdict, close: bool) {
+        match verdict {
+            Verdict::Served(result) => self.reply(net, id, 200, &[], &result, close),
+            Verdict::Denied { retry_after } if retry_after > 0.0 => {
+                let advice = [("Retry-After", format!("{:.3}", retry_after / 1e3))];
+                self.reply(net, id, 503, &advice, b"", close);
+            }
+            Verdict::Denied { .. } => self.reply(net, id, 503, &[], b"", close),
+            Verdict::Failed => self.reply(net, id, 500, &[], b"", close),
+        }
+    }
+
+    fn reply(
+        &mut self,
+        net: &mut Sockets,
+        id: ConnId,
+        status: u16,
+        headers: &[(&str, String)],
+        body: &[u8],
+        close: bool,
+    ) {
+        let close = close || self.stopping.is_some() || matches!(status, 400 | 413 | 501);
+        if !net.write(id, &http::answer(status, headers, body, close)) {
+            return self.drop_client(net, id);
+        }
+        if let Some(conn) = net.conn(id).filter(|_| close) {
+            conn.closing = true;
+        }
+    }
+}
+
+fn idle_now(client: &Client) -> bool {
+    client.session.is_none() && client.ends.is_none()
+}
+
+/// The slots among a request's further figures.
+fn slots(extra: &str) -> Option<f64> {
+    let value = |pair: &str| {
+        let (name, value) = pair.split_once('=')?;
+        matches!(name.trim(), "slots" | "needs").then(|| value.trim().parse::<f64>().ok())?
+    };
+    extra.split(',').find_map(value).filter(|slots| slots.is_finite() && *slots > 0.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spans_and_slots_read() {
+        assert_eq!(span("480m"), Some(480.0));
+        assert_eq!(span("9500u"), Some(9.5));
+        for bad in ["", "m", "480", "-1m", "480é", "1e3m"] {
+            assert_eq!(span(bad), None, "{bad}");
+        }
+        assert_eq!(slots("memory=2,slots=4"), Some(4.0));
+        assert_eq!(slots("slots=nan"), None);
+    }
+}
--- /dev/null
+++ b/src/front/platform/mod.rs
@@ -0,0 +1,158 @@
+//! The platform's front: HTTP/1.1 with clients, backend servers and discovery. It decides nothing.
+
+mod backends;
+mod callbacks;
+mod clients;
+mod discovery;
+mod probes;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+
+use super::{LAST_CALL, Sockets};
+use crate::api::{Outcome, Report};
+use crate::core::{Command, Core, Line, SessionId};
+use crate::net::{Budget, ConnId};
+
+use backends::Backends;
+use clients::Clients;
+use discovery::Discovery;
+pub use discovery::read_list;
+
+/// What a session's request looked like on the wire.
+struct Job {
+    client: ConnId,
+    id: Rc<str>,
+    target: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// The front.
+pub struct Platform {
+    core: Core,
+    clients: Clients,
+    backends: Backends,
+    discovery: Discovery,
+    jobs: FxHashMap<SessionId, Job>,
+    ids: FxHashMap<Rc<str>, SessionId>,
+    stopping: Option<f64>,
+}
+
+impl Platform {
+    /// A front on a listener that is open, with the list as last held and its version.
+    pub fn new(
+        core: Core,
+        listener: usize,
+        budget: Budget,
+        discovery: SocketAddr,
+        known: (u64, Vec<Line>),
+    ) -> Platform {
+        let conn_idle = core.site().conn_idle;
+        let mut front = Platform {
+            clients: Clients::new(listener, budget.clients),
+            backends: Backends::new(conn_idle, budget.backends),
+            discovery: Discovery::new(discovery, known.0),
+            core,
+            jobs: FxHashMap::default(),
+            ids: FxHashMap::default(),
+            stopping: None,
+        };
+        front.core.known(known.1);
+        front
+    }
+
+    /// Its core.
+    pub fn core(&self) -> &Core {
+        &self.core
+    }
+
+    /// Its listener.
+    pub fn listener(&self) -> usize {
+        self.clients.listener
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: ConnId) -> bool {
+        self.clients.owns(conn) || self.backends.owns(conn) || self.discovery.owns(conn)
+    }
+
+    /// A connection can be read or written, came up or broke.
+    pub fn ready(&mut self, net: &mut Sockets, conn: ConnId) {
+        if self.clients.owns(conn) {
+            self.client_ready(net, conn);
+        } else if self.backends.owns(conn) {
+            self.backend_ready(net, conn);
+        } else {
+            self.discovery_ready(net);
+        }
+        self.carry_out(net);
+    }
+
+    /// Carries out what the core has decided, until nothing follows from it any more.
+    fn carry_out(&mut self, net: &mut Sockets) {
+        loop {
+            let Some(command) = self.core.next_command() else {
+                // A client that was answered may have sent its next request already. Read in this loop and not
+                // from within the answer: a peer that sends many at once must not nest calls.
+                match self.clients.answered.pop() {
+                    Some(conn) => self.client_ready(net, conn),
+                    None => return,
+                }
+                continue;
+            };
+            match command {
+                Command::Send { session, attempt, server } => self.send(net, session, attempt, server),
+                Command::Cancel { session, attempt } => self.cancel(net, session, attempt),
+                Command::Answer { session, verdict } => self.answer(net, session, verdict),
+                Command::Probe { server } => self.probe(net, server),
+                Command::Subscribe => self.call_discovery(net),
+            }
+        }
+    }
+
+    /// Tells the core how a dispatch ended other than served.
+    fn unserved(&mut self, flight: (SessionId, usize), outcome: Outcome, report: Report) {
+        self.backends.flights.remove(&flight);
+        self.core.ended(flight.0, flight.1, outcome, report, Vec::new());
+    }
+
+    /// Does what is due by now.
+    pub fn tick(&mut self, net: &mut Sockets) {
+        self.core.tick();
+        self.expire_backends(net);
+        self.tick_discovery(net);
+        self.carry_out(net);
+        let now = self.core.clock().now();
+        self.sweep_clients(net, now);
+        if self.stopping.is_some_and(|since| now >= since + LAST_CALL) {
+            self.core.stop();
+            self.close_idle(net);
+        }
+    }
+
+    /// When `tick` is to be called next.
+    pub fn next(&self) -> f64 {
+        let last_call = self.stopping.map_or(f64::INFINITY, |since| {
+            let end = since + LAST_CALL;
+            // Past it, look again and again whether all is finished.
+            if self.core.clock().now() < end { end } else { self.core.clock().now() + 20.0 }
+        });
+        let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
+        wake.min(self.backends.next()).min(self.discovery.next()).min(self.clients.next()).min(last_call)
+    }
+
+    /// Begins to stop.
+    pub fn stop(&mut self) {
+        let now = self.core.clock().now();
+        self.stopping.get_or_insert(now);
+    }
+
+    /// Whether all that was taken is answered and written.
+    pub fn stopped(&mut self, net: &mut Sockets) -> bool {
+        let over = self.stopping.is_some_and(|since| self.core.clock().now() >= since + LAST_CALL);
+        over && self.core.open() == 0 && self.clients.all_written(net)
+    }
+}
--- /dev/null
+++ b/src/front/platform/probes.rs
@@ -0,0 +1,35 @@
+//! Probes: a backend server's load report, asked for beside the jobs.
+
+use super::Platform;
+use super::backends::Work;
+use crate::api::{Report, WorkerId};
+use crate::front::Sockets;
+use crate::json;
+use crate::net::http::{self, Message};
+
+/// How long a probe may take, in milliseconds.
+pub(super) const PATIENCE: f64 = 500.0;
+
+impl Platform {
+    /// Probes a backend server. The module always hears of the end: it asks nobody twice meanwhile.
+    pub(super) fn probe(&mut self, net: &mut Sockets, server: WorkerId) {
+        let now = self.core.clock().now();
+        let Some(conn) = self.acquire(net, server, Work::Probe { asked: now, up: now }) else {
+            return self.core.probed(server, false, 0.0, Report::default());
+        };
+        self.backends.until(conn, now + PATIENCE);
+        let host = [("Host", self.host(server))];
+        net.write(conn, &http::ask("GET", "/metrics/load", &host, None));
+        self.backend_ready(net, conn);
+    }
+
+    /// A probe's answer.
+    pub(super) fn probed(&mut self, server: WorkerId, up: f64, message: &Message) {
+        let report = match message.body.first() {
+            Some(b'{') => json::parse(&message.body).map_or(Report::default(), |load| self.load(&load)),
+            _ => self.load_text(&String::from_utf8_lossy(&message.body)),
+        };
+        let latency = self.core.clock().now() - up;
+        self.core.probed(server, message.status == 200, latency, report);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,12 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod core;
+pub mod front;
+pub mod json;
 mod logic;
+pub mod net;
+pub mod settings;
 mod state;
 
 pub use logic::Dispatcher;
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,24 @@
+//! The descriptor budget: how many connections of each sort the limit on open files leaves.
+
+/// Descriptors for the loop, signals, standard streams, listeners, discovery and what is being accepted.
+const RESERVED: usize = 48;
+/// Descriptors planned with at most: memory is planned for no more.
+const MOST: usize = 4096;
+
+/// Connections of each sort that may be open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    /// Of clients and call-backs.
+    pub clients: usize,
+    /// To backend servers.
+    pub backends: usize,
+}
+
+impl Budget {
+    /// Shares out a limit on descriptors: a quarter to backend servers, since those hold a connection only
+    /// until they have taken a job, clients until it is done.
+    pub fn of(sockets: usize) -> Option<Budget> {
+        let left = sockets.min(MOST).checked_sub(RESERVED).filter(|&left| left >= 16)?;
+        Some(Budget { clients: left - left / 4, backends: left / 4 })
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,176 @@
+//! HTTP/1.1 messages on top of httparse: whole requests and answers out of a ring buffer.
+
+use super::Ring;
+
+/// Longest head and longest body that are read.
+pub const HEAD: usize = 16 * 1024;
+/// Longest body that is read.
+pub const BODY: usize = 64 * 1024;
+const HEADERS: usize = 64;
+
+/// Why a message cannot be read, as the status that says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// Malformed: 400.
+    Malformed,
+    /// Too large: 413.
+    TooLarge,
+    /// A form of body that is not offered: 501.
+    Unsupported,
+}
+
+/// A whole message.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// A request's method.
+    pub method: String,
+    /// A request's target.
+    pub target: String,
+    /// An answer's status.
+    pub status: u16,
+    /// Names and values of its headers.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The connection ends after it.
+    pub close: bool,
+}
+
+impl Message {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+}
+
+/// Takes a whole request off the buffer, if there is one.
+pub fn request(ring: &mut Ring) -> Result<Option<Message>, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let bytes = ring.bytes();
+    let head = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(head)) if head <= HEAD => head,
+        Ok(httparse::Status::Partial) if bytes.len() <= HEAD => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::TooLarge),
+        Err(_) => return Err(Bad::Malformed),
+    };
+    let mut message = Message {
+        method: parsed.method.unwrap_or("").to_string(),
+        target: parsed.path.unwrap_or("").to_string(),
+        headers: owned(parsed.headers)?,
+        ..Message::default()
+    };
+    message.close = closes(&message, parsed.version);
+    let length = length(&message)?.unwrap_or(0);
+    if bytes.len() < head + length {
+        return Ok(None);
+    }
+    message.body = bytes[head..head + length].to_vec();
+    ring.consume(head + length);
+    Ok(Some(message))
+}
+
+/// Takes a whole answer off the buffer, if there is one; `ended` tells that no more will come.
+pub fn response(ring: &mut Ring, ended: bool) -> Result<Option<Message>, Bad> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let bytes = ring.bytes();
+        let head = match parsed.parse(bytes) {
+            Ok(httparse::Status::Complete(head)) if head <= HEAD => head,
+            Ok(httparse::Status::Partial) if bytes.len() <= HEAD => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::TooLarge),
+            Err(_) => return Err(Bad::Malformed),
+        };
+        let status = parsed.code.unwrap_or(0);
+        if (100..200).contains(&status) {
+            ring.consume(head);
+            continue;
+        }
+        let mut message = Message { status, headers: owned(parsed.headers)?, ..Message::default() };
+        message.close = closes(&message, parsed.version);
+        let length = match length(&message)? {
+            _ if status == 204 || status == 304 => 0,
+            Some(length) => length,
+            // Without a length the body is all that comes before the end.
+            None if ended => bytes.len() - head,
+            None => return Ok(None),
+        };
+        if bytes.len() < head + length {
+            return Ok(None);
+        }
+        message.body = bytes[head..head + length].to_vec();
+        ring.consume(head + length);
+        return Ok(Some(message));
+    }
+}
+
+fn owned(headers: &[httparse::Header<'_>]) -> Result<Vec<(String, String)>, Bad> {
+    let one = |h: &httparse::Header<'_>| {
+        let value = std::str::from_utf8(h.value).map_err(|_| Bad::Malformed)?;
+        Ok((h.name.to_string(), value.trim().to_string()))
+    };
+    headers.iter().map(one).collect()
+}
+
+fn closes(message: &Message, version: Option<u8>) -> bool {
+    let connection = message.header("connection").unwrap_or("").to_ascii_lowercase();
+    connection.contains("close") || version == Some(0) && !connection.contains("keep-alive")
+}
+
+/// The length of the body. Two lengths, or one that is no plain number, could make two readers see different
+/// messages in the same bytes.
+fn length(message: &Message) -> Result<Option<usize>, Bad> {
+    if message.header("transfer-encoding").is_some() {
+        return Err(Bad::Unsupported);
+    }
+    let mut lengths = message.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+    let Some((_, value)) = lengths.next() else { return Ok(None) };
+    if lengths.next().is_some() || value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(Bad::Malformed);
+    }
+    match value.parse::<usize>() {
+        Ok(length) if length <= BODY => Ok(Some(length)),
+        _ => Err(Bad::TooLarge),
+    }
+}
+
+/// Writes an answer.
+pub fn answer(status: u16, headers: &[(&str, String)], body: &[u8], close: bool) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "",
+    };
+    let mut out = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
+    finish(&mut out, headers, (status != 204).then_some(body), close);
+    out
+}
+
+/// Writes a request.
+pub fn ask(method: &str, target: &str, headers: &[(&str, String)], body: Option<&[u8]>) -> Vec<u8> {
+    let mut out = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
+    finish(&mut out, headers, body, false);
+    out
+}
+
+fn finish(out: &mut Vec<u8>, headers: &[(&str, String)], body: Option<&[u8]>, close: bool) {
+    for (name, value) in headers {
+        out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    if let Some(body) = body {
+        out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body.unwrap_or(b""));
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,124 @@
+//! Sockets: connections with their buffers, listeners, the pool, the descriptor budget. No protocol.
+
+mod budget;
+mod conn;
+pub mod http;
+mod pool;
+mod ring;
+
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction};
+use rustc_hash::FxHashMap;
+
+pub use budget::Budget;
+pub use conn::{Conn, HELD};
+pub use pool::Pool;
+pub use ring::Ring;
+
+/// A connection's id, never used again.
+pub type ConnId = u64;
+
+/// What takes in what happens on sockets.
+pub trait Handler: Sized + 'static {
+    /// A connection can be read or written, came up or broke.
+    fn ready(&mut self, conn: ConnId);
+    /// A listener has connections to accept.
+    fn waiting(&mut self, listener: usize);
+}
+
+/// All connections and listeners of a handler.
+pub struct Net<H: Handler> {
+    handle: LoopHandle<'static, H>,
+    conns: FxHashMap<ConnId, Conn>,
+    listeners: Vec<Rc<TcpListener>>,
+    last: ConnId,
+}
+
+impl<H: Handler> Net<H> {
+    /// No connections yet.
+    pub fn new(handle: LoopHandle<'static, H>) -> Net<H> {
+        Net { handle, conns: FxHashMap::default(), listeners: Vec::new(), last: 0 }
+    }
+
+    /// Listens; gives the listener's number and the address it got.
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<(usize, SocketAddr)> {
+        let listener = Rc::new(TcpListener::bind(address)?);
+        listener.set_nonblocking(true)?;
+        let (number, local) = (self.listeners.len(), listener.local_addr()?);
+        // Level-triggered: what is left in the backlog is told again.
+        let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
+        self.handle
+            .insert_source(source, move |_, _, handler: &mut H| {
+                handler.waiting(number);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.to_string()))?;
+        self.listeners.push(listener);
+        Ok((number, local))
+    }
+
+    /// Accepts one connection, if one waits.
+    pub fn accept(&mut self, listener: usize) -> Option<ConnId> {
+        loop {
+            match self.listeners[listener].accept() {
+                Ok((stream, _)) => match Conn::accepted(stream).and_then(|conn| self.add(conn)) {
+                    Ok(id) => return Some(id),
+                    Err(e) => eprintln!("micabeam: an accepted connection was dropped: {e}"),
+                },
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Starts to open a connection.
+    pub fn open(&mut self, address: SocketAddr) -> io::Result<ConnId> {
+        let conn = Conn::open(address)?;
+        self.add(conn)
+    }
+
+    fn add(&mut self, mut conn: Conn) -> io::Result<ConnId> {
+        self.last += 1;
+        let id = self.last;
+        // Edge-triggered: `pump` goes on until the socket would block, and is called again once a full buffer
+        // has been read.
+        let source = Generic::new(Rc::clone(&conn.stream), Interest::BOTH, Mode::Edge);
+        let token = self
+            .handle
+            .insert_source(source, move |_, _, handler: &mut H| {
+                handler.ready(id);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.to_string()))?;
+        conn.token = Some(token);
+        self.conns.insert(id, conn);
+        Ok(id)
+    }
+
+    /// A connection that is open.
+    pub fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
+        self.conns.get_mut(&id)
+    }
+
+    /// Queues bytes and writes what can be written. False where they do not fit or the connection is gone.
+    pub fn write(&mut self, id: ConnId, bytes: &[u8]) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
+        let queued = conn.tx.push(bytes);
+        conn.pump();
+        queued
+    }
+
+    /// Closes a connection at once.
+    pub fn close(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.remove(&id) {
+            conn.shut();
+            if let Some(token) = conn.token {
+                self.handle.remove(token);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,63 @@
+//! The pool: idle connections to backend servers, newest used first.
+
+use rustc_hash::FxHashMap;
+
+use super::ConnId;
+
+/// Idle connections of each peer with the time at which each fell idle.
+pub struct Pool<K> {
+    idle: FxHashMap<K, Vec<(ConnId, f64)>>,
+    keep: f64,
+}
+
+impl<K: std::hash::Hash + Eq + Copy> Pool<K> {
+    /// A pool for peers that close what has stood idle for `limit` milliseconds. It gives a connection up well
+    /// before: a request that crosses the closing would be lost.
+    pub fn new(limit: f64) -> Pool<K> {
+        Pool { idle: FxHashMap::default(), keep: (limit * 0.8).min(limit - 500.0).max(0.0) }
+    }
+
+    /// The idle connections to a peer that are young enough, newest first, are taken out one by one.
+    pub fn take(&mut self, peer: K, now: f64) -> Option<ConnId> {
+        let list = self.idle.get_mut(&peer)?;
+        let &(id, since) = list.last()?;
+        if now - since >= self.keep {
+            return None;
+        }
+        list.pop();
+        Some(id)
+    }
+
+    /// Puts a connection back.
+    pub fn put(&mut self, peer: K, id: ConnId, now: f64) {
+        self.idle.entry(peer).or_default().push((id, now));
+    }
+
+    /// Takes a connection out that has closed.
+    pub fn remove(&mut self, peer: K, id: ConnId) {
+        if let Some(list) = self.idle.get_mut(&peer) {
+            list.retain(|&(other, _)| other != id);
+        }
+    }
+
+    /// Takes out what has been idle for too long.
+    pub fn expired(&mut self, now: f64) -> Vec<ConnId> {
+        let mut out = Vec::new();
+        for list in self.idle.values_mut() {
+            let old = list.iter().take_while(|&&(_, since)| now - since >= self.keep).count();
+            out.extend(list.drain(..old).map(|(id, _)| id));
+        }
+        self.idle.retain(|_, list| !list.is_empty());
+        out
+    }
+
+    /// Takes out the connection that has been idle longest.
+    pub fn oldest(&mut self) -> Option<ConnId> {
+        let (&peer, _) = self
+            .idle
+            .iter()
+            .filter(|(_, list)| !list.is_empty())
+            .min_by(|a, b| a.1[0].1.total_cmp(&b.1[0].1))?;
+        Some(self.idle.get_mut(&peer)?.remove(0).0)
+    }
+}
--- a/tests/wirehost.rs
+++ b/tests/adapter.rs
@@ -8,7 +8,7 @@
     "caps": {"sendCap": 3}, "rules": {"coldFrom": 0.1, "cold": 20000000, "tipMultiple": 2.5}}"#;
 
 fn run(chunks: &[&[u8]]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_vetchhollow-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_micabeam-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small world for the tests: settings, a list, and a dispatcher whose actions are kept.
 #![allow(dead_code)]
 
-use vetchhollow::Dispatcher;
-use vetchhollow::api::*;
+use micabeam::Dispatcher;
+use micabeam::api::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/cycle.rs
+++ b/tests/cycle.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
+use micabeam::api::*;
 use std::collections::BTreeMap;
-use vetchhollow::api::*;
 
 /// Sends `count` jobs, each served at once, and lists where they went.
 fn route(world: &mut World, class: usize, count: usize) -> Vec<u64> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
+use micabeam::Dispatcher;
+use micabeam::api::*;
 use std::collections::BTreeMap;
-use vetchhollow::Dispatcher;
-use vetchhollow::api::*;
 
 fn fleet(count: u64) -> Vec<Member> {
     (1..=count).map(|id| member(id, 1.0)).collect()
