--- a/src/settings.rs
+++ b/src/settings.rs
@@ -67,7 +67,7 @@
             grades.push(Grade { name, hard_limit: number(line, "hardLimit").unwrap_or(5e6) / 1e3 });
         }
         if classes.is_empty() {
-            return Err("settings: no grades".into());
+            return Err("settings: missing field `grades`, a list that is not empty".into());
         }
         let micros = |value: &JsonValue, name| number(value, name).unwrap_or(0.0).max(0.0) as Micros;
         let settings = Settings {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -136,7 +136,7 @@
         for (at, world) in worlds.iter_mut().enumerate() {
             world.now = now;
             let mut actions = world.handle(Event::Wake);
-            if (tick * 7 + at as u64 * 13) % 67 == 0 {
+            if (tick * 7 + at as u64 * 13).is_multiple_of(67) {
                 actions.extend(world.job(0).1);
             }
             follow(world, at, &mut actions, &mut sends, &mut ending);
