--- /dev/null
+++ b/src/front/gearman/clients.rs
@@ -0,0 +1,190 @@
+//! Clients: their jobs, the answers, and the record by which a client that comes back is answered.
+
+use super::packets::{answer, arguments, kind};
+use super::record::{Answer, Entry};
+use super::{Gearman, Job};
+use crate::api::Repeat;
+use crate::core::{Request, SessionId, Verdict};
+use crate::front::Sockets;
+use crate::net::ConnId;
+
+/// Jobs that one connection may wait for.
+const WAITS: usize = 256;
+
+impl Gearman {
+    /// Reads a client's packet; false where it does not read.
+    pub(super) fn client_packet(&mut self, net: &mut Sockets, id: ConnId, number: u32, body: &[u8]) -> bool {
+        match number {
+            kind::SUBMIT_JOB | kind::SUBMIT_JOB_HIGH | kind::SUBMIT_JOB_LOW => {
+                let Some([function, unique, data]) = arguments::<3>(body) else { return false };
+                self.submit(net, id, function, unique, data);
+            }
+            kind::SUBMIT_JOB_BG
+            | kind::SUBMIT_JOB_HIGH_BG
+            | kind::SUBMIT_JOB_LOW_BG
+            | kind::SUBMIT_JOB_SCHED
+            | kind::SUBMIT_JOB_EPOCH
+            | kind::SUBMIT_REDUCE_JOB_BACKGROUND => {
+                self.error(net, id, "no_background", "a background job could never be answered");
+            }
+            kind::SUBMIT_REDUCE_JOB => self.error(net, id, "no_reduce", "reducers are not offered"),
+            kind::GET_STATUS => {
+                let Some([handle]) = arguments::<1>(body) else { return false };
+                let [known, running, done, all] = self.status(Self::session(handle));
+                let packet = answer(kind::STATUS_RES, &[handle, &known, &running, &done, &all]);
+                self.put(net, id, packet);
+            }
+            kind::GET_STATUS_UNIQUE => {
+                let job = self.jobs.iter().find(|(_, j)| !body.is_empty() && j.unique == body);
+                let count = job.map_or(0, |(_, j)| j.listeners.len()).to_string();
+                let [known, running, done, all] = self.status(job.map(|(&session, _)| session));
+                let fields = [body, &known, &running, &done, &all, count.as_bytes()];
+                self.put(net, id, answer(kind::STATUS_RES_UNIQUE, &fields));
+            }
+            _ => self.error(net, id, "unknown_packet", "this kind of packet is not known here"),
+        }
+        true
+    }
+
+    /// Whether a job is known and running, and how far it has got.
+    fn status(&self, session: Option<SessionId>) -> [Vec<u8>; 4] {
+        let digit = |flag: bool| vec![b'0' + u8::from(flag)];
+        let job = session.and_then(|session| self.jobs.get(&session));
+        let (done, all) = job.map(|j| j.progress.clone()).unwrap_or((vec![b'0'], vec![b'0']));
+        [digit(job.is_some()), digit(job.is_some_and(|j| j.assigned)), done, all]
+    }
+
+    fn submit(&mut self, net: &mut Sockets, id: ConnId, function: &[u8], unique: &[u8], data: &[u8]) {
+        let Some(number) = self.config.function(function) else {
+            return self.error(net, id, "unknown_function", "the operator's file has no such function");
+        };
+        let Some(peer) = self.peers.get(&id) else { return };
+        if !peer.role.may_submit(&self.config.functions[number].tenant) {
+            return self.error(net, id, "forbidden", "this identity may not submit this function");
+        }
+        if peer.waits.len() >= WAITS {
+            return self.error(net, id, "too_many_jobs", "this connection waits for too many answers");
+        }
+        // The protocol's `-`: the data themselves tell jobs apart.
+        let unique = if unique == b"-" { data } else { unique };
+        let key = (!unique.is_empty()).then(|| (number, unique.to_vec()));
+        // Guards against a second run: a client that left and submits the same job again joins the one that
+        // runs, or gets the answer that it missed.
+        match key.as_ref().and_then(|key| self.record.get(key)).cloned() {
+            Some(Entry::Running(session)) => {
+                self.put(net, id, answer(kind::JOB_CREATED, &[Self::handle(session).as_bytes()]));
+                return self.listen(session, id);
+            }
+            Some(Entry::Over { handle, answer: last }) => {
+                self.put(net, id, answer(kind::JOB_CREATED, &[handle.as_bytes()]));
+                let packet = match &last {
+                    Answer::Complete(result) => answer(kind::WORK_COMPLETE, &[handle.as_bytes(), result]),
+                    Answer::Failed => answer(kind::WORK_FAIL, &[handle.as_bytes()]),
+                };
+                return self.put(net, id, packet);
+            }
+            None => {}
+        }
+        let now = self.core.clock().now();
+        if key.is_some() && !self.record.make_room(now) {
+            return self.error(net, id, "record_full", "try again later: nothing was run");
+        }
+        let request = Request { class: number, due: now + self.config.functions[number].wait, slots: 1.0 };
+        match self.core.request(request) {
+            Ok(session) => {
+                let job = Job {
+                    function: number,
+                    unique: unique.to_vec(),
+                    key: key.clone(),
+                    data: data.to_vec(),
+                    listeners: Vec::new(),
+                    assigned: false,
+                    progress: (vec![b'0'], vec![b'0']),
+                };
+                self.jobs.insert(session, job);
+                if let Some(key) = key {
+                    self.record.run(key, session);
+                }
+                self.put(net, id, answer(kind::JOB_CREATED, &[Self::handle(session).as_bytes()]));
+                self.listen(session, id);
+            }
+            Err(verdict) => {
+                // It was turned away before it had a handle that anybody could ask for.
+                let handle = Self::handle(0);
+                self.put(net, id, answer(kind::JOB_CREATED, &[handle.as_bytes()]));
+                self.say(net, id, handle.as_bytes(), &verdict);
+            }
+        }
+    }
+
+    fn listen(&mut self, session: SessionId, id: ConnId) {
+        if let (Some(job), Some(peer)) = (self.jobs.get_mut(&session), self.peers.get_mut(&id)) {
+            // Each submission is owed an answer, also where one connection submits the same job twice.
+            job.listeners.push(id);
+            peer.waits.push(session);
+        }
+    }
+
+    /// A client has left. A job that it can come back for goes on.
+    pub(super) fn stop_listening(&mut self, session: SessionId, id: ConnId) {
+        let Some(job) = self.jobs.get_mut(&session) else { return };
+        job.listeners.retain(|&other| other != id);
+        if job.listeners.is_empty() && job.key.is_none() {
+            self.jobs.remove(&session);
+            self.core.client_left(session);
+        }
+    }
+
+    /// Gives a session its final answer: to each of its clients, and to the record.
+    pub(super) fn answer(&mut self, net: &mut Sockets, session: SessionId, verdict: Verdict) {
+        let Some(job) = self.jobs.remove(&session) else { return };
+        let handle = Self::handle(session);
+        let keep = self.core.clock().now() + self.config.keep;
+        let is_unsafe = self.config.site.settings.classes[job.function].repeat != Repeat::Safe;
+        if let Some(key) = &job.key {
+            match &verdict {
+                Verdict::Served(result) => {
+                    self.record.over(key, handle.clone(), Answer::Complete(result.clone()), keep);
+                }
+                Verdict::Failed if is_unsafe && job.assigned => {
+                    self.record.over(key, handle.clone(), Answer::Failed, keep);
+                }
+                _ => self.record.remove(key),
+            }
+        }
+        for id in job.listeners {
+            if let Some(peer) = self.peers.get_mut(&id)
+                && let Some(at) = peer.waits.iter().position(|&s| s == session)
+            {
+                peer.waits.swap_remove(at);
+            }
+            self.say(net, id, handle.as_bytes(), &verdict);
+        }
+    }
+
+    fn say(&mut self, net: &mut Sockets, id: ConnId, handle: &[u8], verdict: &Verdict) {
+        match verdict {
+            Verdict::Served(result) => self.put(net, id, answer(kind::WORK_COMPLETE, &[handle, result])),
+            Verdict::Denied { retry_after } => {
+                let text = format!("denied retry-after-ms={}", retry_after.ceil());
+                self.put(net, id, answer(kind::WORK_WARNING, &[handle, text.as_bytes()]));
+                self.put(net, id, answer(kind::WORK_FAIL, &[handle]));
+            }
+            Verdict::Failed => self.put(net, id, answer(kind::WORK_FAIL, &[handle])),
+        }
+    }
+
+    /// Passes on what a worker tells of a job that is not over.
+    pub(super) fn pass_on(&mut self, net: &mut Sockets, session: SessionId, number: u32, fields: &[&[u8]]) {
+        let Some(job) = self.jobs.get_mut(&session) else { return };
+        if let (kind::WORK_STATUS, [_, done, all]) = (number, fields) {
+            job.progress = (done.to_vec(), all.to_vec());
+        }
+        for id in job.listeners.clone() {
+            let wants = number != kind::WORK_EXCEPTION || self.peers.get(&id).is_some_and(|p| p.exceptions);
+            if wants {
+                self.put(net, id, answer(number, fields));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/front/gearman/config.rs
@@ -0,0 +1,119 @@
+//! The operator's file of this front.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::identity::IdentityFiles;
+use crate::json::{self, JsonValue, field, number, text};
+use crate::settings::Site;
+
+/// A function that is offered.
+#[derive(Clone, Debug)]
+pub struct Function {
+    /// Its name.
+    pub name: Vec<u8>,
+    /// The tenant whose jobs it carries.
+    pub tenant: String,
+    /// How long a client waits at most, in milliseconds; it is the class's.
+    pub wait: f64,
+    /// Its kind of worker, by number.
+    pub kind: usize,
+}
+
+/// All that the file says.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where clients and workers connect.
+    pub listen: SocketAddr,
+    /// Connections at most.
+    pub peers: usize,
+    /// The functions; each has a class of its own in `site`.
+    pub functions: Vec<Function>,
+    /// Names of the kinds of workers.
+    pub kinds: Vec<String>,
+    /// The settings with a class for each function.
+    pub site: Site,
+    /// Jobs in the record, and bytes in it.
+    pub record: (usize, usize),
+    /// How long an answer is kept for sure, in milliseconds.
+    pub keep: f64,
+    /// Where peers prove who they are.
+    pub identity: Option<IdentityFiles>,
+}
+
+impl Config {
+    /// Reads the file; the settings are its own or, without such, the deployment's.
+    pub fn read(file: &JsonValue, deployment: Option<&JsonValue>) -> Result<Config, String> {
+        let settings = field(file, "settings").or(deployment).ok_or("no `settings`")?;
+        let mut site = Site::read(settings)?;
+        let listen = text(file, "listen").ok_or("no `listen`")?;
+        let listen = listen.parse().map_err(|_| format!("`listen` is no address: {listen}"))?;
+        let lines = field(file, "functions").and_then(JsonValue::get);
+        let lines: &std::collections::HashMap<String, JsonValue> = lines.ok_or("no `functions`")?;
+        let lines: BTreeMap<&String, &JsonValue> = lines.iter().collect();
+        let (mut functions, mut kinds) = (Vec::new(), Vec::<String>::new());
+        let (mut classes, mut grades) = (Vec::new(), Vec::new());
+        for (name, line) in lines {
+            if name.is_empty() || name.bytes().any(|b| b <= b' ') {
+                return Err(format!("function \"{name}\": a name has no blanks and is not empty"));
+            }
+            let class = text(line, "class").ok_or_else(|| format!("function {name}: no `class`"))?;
+            let at = site.grades.iter().position(|g| g.name == class);
+            let at = at.ok_or_else(|| format!("function {name}: the settings have no class {class}"))?;
+            let tenant = text(line, "tenant").unwrap_or("").to_string();
+            if !tenant.is_empty() && !site.tenants.contains(&tenant) {
+                return Err(format!("function {name}: the settings have no tenant {tenant}"));
+            }
+            let kind_name = text(line, "kind").unwrap_or(name);
+            let kind = kinds.iter().position(|k| k == kind_name).unwrap_or_else(|| {
+                kinds.push(kind_name.to_string());
+                kinds.len() - 1
+            });
+            let mut class = site.settings.classes[at].clone();
+            class.kind = Some(u16::try_from(kind).map_err(|_| "too many kinds")?);
+            classes.push(class);
+            grades.push(site.grades[at].clone());
+            let wait = site.grades[at].hard_limit;
+            functions.push(Function { name: name.clone().into_bytes(), tenant, wait, kind });
+        }
+        if functions.is_empty() {
+            return Err("no functions".into());
+        }
+        // One dispatcher with a list of its own: workers come to it, are not probed, and cost no crossing.
+        let settings = &mut site.settings;
+        (settings.number, settings.dispatchers, settings.zone) = (0, 1, 0);
+        (settings.live_sizes, settings.must_subscribe, settings.zones_cost) = (false, false, false);
+        (settings.limits.probe, settings.limits.cancel, settings.tells_start) = (false, true, true);
+        (settings.classes, site.grades) = (classes, grades);
+        let record = field(file, "record").unwrap_or(&JsonValue::Null);
+        let bound = |name, usual: f64| number(record, name).unwrap_or(usual).max(1.0) as usize;
+        let identity = field(file, "identity").map(IdentityFiles::read).transpose()?;
+        if let Some(identity) = &identity
+            && let Some((id, tenant)) = identity.clients.iter().find(|(_, t)| !site.tenants.contains(t))
+        {
+            return Err(format!("identity {id}: the settings have no tenant {tenant}"));
+        }
+        Ok(Config {
+            listen,
+            peers: number(file, "peers").unwrap_or(128.0).clamp(1.0, 1024.0) as usize,
+            functions,
+            kinds,
+            site,
+            record: (bound("entries", 4096.0), bound("bytes", 16_777_216.0)),
+            keep: number(record, "keep_s").unwrap_or(900.0).max(0.0) * 1e3,
+            identity,
+        })
+    }
+
+    /// A function's number.
+    pub fn function(&self, name: &[u8]) -> Option<usize> {
+        self.functions.iter().position(|f| f.name == name)
+    }
+
+    /// Reads the file at a path.
+    pub fn load(path: &str, deployment: Option<&JsonValue>) -> Result<Config, String> {
+        let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+        let file = json::parse(&bytes).map_err(|e| format!("{path}: {e}"))?;
+        Config::read(&file, deployment).map_err(|e| format!("{path}: {e}"))
+    }
+}
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -1,39 +1,326 @@
-//! Gearman's front.
+//! Gearman's front: clients and workers of the Gearman protocol on the same core, and so under the same rules.
+//! It decides nothing. Each worker connection is a backend server; `docs/gearman.md` says how denials and
+//! failures look.
 
-use super::Sockets;
-use crate::core::Core;
+mod admin;
+mod clients;
+mod config;
+pub mod identity;
+pub mod packets;
+mod record;
+mod workers;
+
+use std::collections::VecDeque;
+use std::net::IpAddr;
+
+use rustc_hash::FxHashMap;
+
+use super::{LAST_CALL, Sockets};
+use crate::api::WorkerId;
+use crate::core::{Clock, Command, Core, SessionId};
 use crate::net::ConnId;
 
+pub use config::{Config, Function};
+use identity::{Identity, Role};
+use packets::{Incoming, answer, kind, take};
+use record::{Key, Record};
+use workers::Worker;
+
+/// How long a peer whose connection is ended may take to end its side, in milliseconds.
+const LINGER: f64 = 1000.0;
+/// How long a peer may take to prove who it is, in milliseconds.
+const INTRODUCTION: f64 = 5000.0;
+
+/// A dispatch: its session and its number.
+type FlightId = (SessionId, usize);
+
+/// A connection, of a client, a worker, or both.
+struct Peer {
+    role: Role,
+    id: Vec<u8>,
+    address: Option<IpAddr>,
+    exceptions: bool,
+    /// Sessions whose answers it waits for.
+    waits: Vec<SessionId>,
+    worker: Option<Worker>,
+    /// It has proved who it is, where that is asked for.
+    known: bool,
+    since: f64,
+    ends: Option<f64>,
+}
+
+/// A session's job.
+struct Job {
+    function: usize,
+    unique: Vec<u8>,
+    key: Option<Key>,
+    data: Vec<u8>,
+    listeners: Vec<ConnId>,
+    /// It was assigned to a worker at least once.
+    assigned: bool,
+    progress: (Vec<u8>, Vec<u8>),
+}
+
 /// The front.
 pub struct Gearman {
     core: Core,
+    config: Config,
+    listener: usize,
+    peers: FxHashMap<ConnId, Peer>,
+    servers: FxHashMap<WorkerId, ConnId>,
+    jobs: FxHashMap<SessionId, Job>,
+    record: Record,
+    identity: Option<Identity>,
+    stopping: Option<f64>,
+    /// Connections to be looked at again.
+    again: VecDeque<ConnId>,
 }
 
 impl Gearman {
+    /// A front on a listener that is open.
+    pub fn new(config: Config, seed: u64, clock: Clock, listener: usize) -> Result<Gearman, String> {
+        let limit = config.peers * 16;
+        let identity = config.identity.clone().map(Identity::load).transpose()?;
+        let mut core = Core::new(config.site.clone(), seed, clock, limit);
+        core.listed(Vec::new(), true);
+        Ok(Gearman {
+            core,
+            listener,
+            peers: FxHashMap::default(),
+            servers: FxHashMap::default(),
+            jobs: FxHashMap::default(),
+            record: Record::new(config.record.0, config.record.1),
+            identity,
+            config,
+            stopping: None,
+            again: VecDeque::new(),
+        })
+    }
+
     /// Its core.
     pub fn core(&self) -> &Core {
         &self.core
     }
 
-    /// A connection is ready.
-    pub fn ready(&mut self, _net: &mut Sockets, _conn: ConnId) {}
+    /// Accepts what waits; beyond the bound a connection is closed at once, so that nothing is taken from it.
+    pub fn accept(&mut self, net: &mut Sockets) {
+        for _ in 0..64 {
+            let Some(id) = net.accept(self.listener) else { return };
+            if self.peers.len() >= self.config.peers || self.stopping.is_some() {
+                net.close(id);
+                continue;
+            }
+            let since = self.core.clock().now();
+            let mut known = true;
+            if let Some(identity) = &self.identity {
+                known = false;
+                let secured = identity.session().is_some_and(|tls| net.secure(id, tls));
+                if !secured {
+                    net.close(id);
+                    continue;
+                }
+            }
+            let peer = Peer {
+                role: Role::default(),
+                id: Vec::new(),
+                address: net.conn(id).and_then(|c| c.peer_address()).map(|a| a.ip()),
+                exceptions: false,
+                waits: Vec::new(),
+                worker: None,
+                known,
+                since,
+                ends: None,
+            };
+            self.peers.insert(id, peer);
+        }
+    }
+
+    /// A connection can be read or written, or broke.
+    pub fn ready(&mut self, net: &mut Sockets, conn: ConnId) {
+        self.look(net, conn);
+        self.carry_out(net);
+    }
+
+    fn look(&mut self, net: &mut Sockets, id: ConnId) {
+        loop {
+            let (Some(conn), Some(peer)) = (net.conn(id), self.peers.get_mut(&id)) else { return };
+            conn.pump();
+            if conn.closing {
+                conn.rx.consume(conn.rx.len());
+                if conn.eof || conn.broken {
+                    self.leave(net, id);
+                } else if conn.is_written() && peer.ends.is_none() {
+                    peer.ends = Some(self.core.clock().now() + LINGER);
+                    conn.end_writing();
+                }
+                return;
+            }
+            if conn.broken {
+                return self.leave(net, id);
+            }
+            if !peer.known {
+                let Some(chain) = conn.peer_certificates() else {
+                    if conn.eof {
+                        self.leave(net, id);
+                    }
+                    return;
+                };
+                // Guards against a peer that holds a valid certificate and no allowed identity: it is refused
+                // before a packet of it is read.
+                match self.identity.as_ref().map(|identity| identity.role(&chain)) {
+                    Some(Ok(role)) => (peer.role, peer.known) = (role, true),
+                    refused => {
+                        if let Some(Err(e)) = refused {
+                            eprintln!("micabeam: a peer was refused: {e}");
+                        }
+                        return self.leave(net, id);
+                    }
+                }
+            }
+            let ended = conn.eof;
+            match take(&mut conn.rx) {
+                Ok(None) if ended => return self.leave(net, id),
+                Ok(None) => return,
+                Ok(Some(Incoming::Line(line))) => self.admin(net, id, &line),
+                Ok(Some(Incoming::Packet { kind, body })) => self.packet(net, id, kind, &body),
+                Err(code) => {
+                    self.error(net, id, code, "the connection ends");
+                    if let Some(conn) = net.conn(id) {
+                        conn.closing = true;
+                    }
+                }
+            }
+        }
+    }
+
+    fn packet(&mut self, net: &mut Sockets, id: ConnId, number: u32, body: &[u8]) {
+        let read = match number {
+            kind::ECHO_REQ => {
+                self.put(net, id, answer(kind::ECHO_RES, &[body]));
+                true
+            }
+            kind::OPTION_REQ if body == b"exceptions" => {
+                if let Some(peer) = self.peers.get_mut(&id) {
+                    peer.exceptions = true;
+                }
+                self.put(net, id, answer(kind::OPTION_RES, &[body]));
+                true
+            }
+            kind::OPTION_REQ => {
+                self.error(net, id, "unknown_option", "only exceptions is known");
+                true
+            }
+            kind::SET_CLIENT_ID => {
+                if let Some(peer) = self.peers.get_mut(&id) {
+                    peer.id = body.iter().copied().filter(u8::is_ascii_graphic).take(64).collect();
+                }
+                true
+            }
+            _ if workers::is_worker_kind(number) => self.worker_packet(net, id, number, body),
+            _ => self.client_packet(net, id, number, body),
+        };
+        if !read {
+            self.error(net, id, "bad_arguments", "the packet does not read");
+        }
+    }
+
+    /// Writes to a peer; one that does not read what it is sent is ended.
+    fn put(&mut self, net: &mut Sockets, id: ConnId, bytes: Vec<u8>) {
+        if !net.write(id, &bytes)
+            && let Some(conn) = net.conn(id)
+        {
+            conn.broken = true;
+            self.again.push_back(id);
+        }
+    }
+
+    fn error(&mut self, net: &mut Sockets, id: ConnId, code: &str, text: &str) {
+        self.put(net, id, answer(kind::ERROR, &[code.as_bytes(), text.as_bytes()]));
+    }
+
+    /// A peer has gone.
+    fn leave(&mut self, net: &mut Sockets, id: ConnId) {
+        net.close(id);
+        let Some(peer) = self.peers.remove(&id) else { return };
+        if let Some(worker) = peer.worker {
+            self.worker_left(worker);
+        }
+        for session in peer.waits {
+            self.stop_listening(session, id);
+        }
+    }
 
-    /// Accepts what waits.
-    pub fn accept(&mut self, _net: &mut Sockets) {}
+    fn carry_out(&mut self, net: &mut Sockets) {
+        loop {
+            if let Some(command) = self.core.next_command() {
+                match command {
+                    Command::Send { session, attempt, server } => self.offer(net, (session, attempt), server),
+                    Command::Cancel { session, attempt } => self.call_off((session, attempt)),
+                    Command::Answer { session, verdict } => self.answer(net, session, verdict),
+                    Command::Probe { .. } | Command::Subscribe => {}
+                }
+            } else if let Some(id) = self.again.pop_front() {
+                self.look(net, id);
+            } else {
+                return;
+            }
+        }
+    }
 
-    /// Does what is due.
-    pub fn tick(&mut self, _net: &mut Sockets) {}
+    /// Does what is due by now.
+    pub fn tick(&mut self, net: &mut Sockets) {
+        let now = self.core.clock().now();
+        if let Some(identity) = &mut self.identity {
+            identity.reread(now);
+        }
+        self.core.tick();
+        self.carry_out(net);
+        self.expire_workers(now);
+        self.carry_out(net);
+        let over = |p: &Peer| p.ends.is_some_and(|at| at <= now) || !p.known && p.since + INTRODUCTION <= now;
+        let over = self.peers.iter().filter(|(_, p)| over(p)).map(|(&id, _)| id);
+        for id in over.collect::<Vec<_>>() {
+            self.leave(net, id);
+        }
+        if self.stopping.is_some_and(|since| now >= since + LAST_CALL) {
+            self.core.stop();
+        }
+        self.carry_out(net);
+    }
 
     /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
-        f64::INFINITY
+        let now = self.core.clock().now();
+        let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
+        let peers = self.peers.values().filter_map(|p| {
+            let introduction = (!p.known).then_some(p.since + INTRODUCTION);
+            p.ends.or(introduction)
+        });
+        let stop = self.stopping.map_or(f64::INFINITY, |since| (since + LAST_CALL).max(now + 20.0));
+        let workers = self.peers.values().filter_map(|p| p.worker.as_ref()).map(Worker::next);
+        peers.chain(workers).fold(wake.min(stop), f64::min)
     }
 
     /// Begins to stop.
-    pub fn stop(&mut self) {}
+    pub fn stop(&mut self) {
+        let now = self.core.clock().now();
+        self.stopping.get_or_insert(now);
+    }
+
+    /// Whether all that was taken is answered and written.
+    pub fn stopped(&mut self, net: &mut Sockets) -> bool {
+        let over = self.stopping.is_some_and(|since| self.core.clock().now() >= since + LAST_CALL);
+        let written = |id: &ConnId| net.conn(*id).is_none_or(|c| c.is_written() || c.broken);
+        over && self.core.open() == 0 && self.peers.keys().all(written)
+    }
+
+    /// The handle of a session's job.
+    fn handle(session: SessionId) -> String {
+        format!("H:micabeam:{session}")
+    }
 
-    /// Whether it has stopped.
-    pub fn stopped(&mut self, _net: &mut Sockets) -> bool {
-        true
+    /// The session of a handle.
+    fn session(handle: &[u8]) -> Option<SessionId> {
+        std::str::from_utf8(handle).ok()?.strip_prefix("H:micabeam:")?.parse().ok()
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,8 +8,9 @@
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use micabeam::core::{Clock, Core};
-use micabeam::front::platform::Platform;
-use micabeam::front::{Gateway, platform};
+use micabeam::front::Gateway;
+use micabeam::front::gearman::{self, Gearman};
+use micabeam::front::platform::{self, Platform};
 use micabeam::json::{self, JsonValue, field, number, text};
 use micabeam::net::{Budget, Net};
 use micabeam::settings::Site;
@@ -43,10 +44,26 @@
 
     let clock = Clock::system();
     let mut net = Net::new(handle);
-    let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG does not name a configuration")?;
-    let config = read(&path)?;
-    let platform = open_platform(&config, &mut net, &clock).map_err(|e| format!("{path}: {e}"))?;
-    let mut gateway = Gateway { net, platform: Some(platform), gearman: None, clock };
+    let file = gearman_file()?;
+    let path = std::env::var("LB_CONFIG").ok();
+    let config = path.as_deref().map(read).transpose()?;
+    if config.is_none() && file.is_none() {
+        return Err("LB_CONFIG names no configuration, and --gearman no operator's file".into());
+    }
+    let gearman = match &file {
+        Some(file) => {
+            let settings = config.as_ref().and_then(|c| field(c, "settings"));
+            Some(open_gearman(file, settings, &mut net, &clock)?)
+        }
+        None => None,
+    };
+    let platform = match (&config, &path) {
+        (Some(config), Some(path)) => {
+            Some(open_platform(config, &mut net, &clock).map_err(|e| format!("{path}: {e}"))?)
+        }
+        _ => None,
+    };
+    let mut gateway = Gateway { net, platform, gearman, clock };
     gateway.tick();
     while !gateway.stopped() {
         let wait = (gateway.next() - gateway.clock.now()).clamp(0.0, ROUND);
@@ -58,6 +75,30 @@
     Ok(())
 }
 
+/// The operator's file of the Gearman front, as the command line names it.
+fn gearman_file() -> Result<Option<String>, String> {
+    let mut arguments = std::env::args().skip(1);
+    match (arguments.next().as_deref(), arguments.next(), arguments.next()) {
+        (None, ..) => Ok(None),
+        (Some("--gearman"), Some(file), None) => Ok(Some(file)),
+        _ => Err("usage: micabeam [--gearman FILE]".into()),
+    }
+}
+
+fn open_gearman(
+    file: &str,
+    settings: Option<&JsonValue>,
+    net: &mut Net<Gateway>,
+    clock: &Clock,
+) -> Result<Gearman, String> {
+    let config = gearman::Config::load(file, settings)?;
+    let listen = config.listen;
+    let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    println!("micabeam: gearman at {local}");
+    // Alone in its list, it need not differ from others in what it draws.
+    Gearman::new(config, clock.now() as u64, clock.clone(), listener).map_err(|e| format!("{file}: {e}"))
+}
+
 fn read(path: &str) -> Result<JsonValue, String> {
     let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
     json::parse(&bytes).map_err(|e| format!("{path}: {e}"))
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 
 use calloop::RegistrationToken;
+use rustls::ServerConnection;
+use rustls::pki_types::CertificateDer;
 use socket2::{Domain, Socket, Type};
 
 use super::ring::Ring;
@@ -16,6 +18,7 @@
 pub struct Conn {
     pub(super) stream: Rc<TcpStream>,
     pub(super) token: Option<RegistrationToken>,
+    pub(super) tls: Option<Box<ServerConnection>>,
     /// Bytes that have come.
     pub rx: Ring,
     /// Bytes to be written.
@@ -58,6 +61,7 @@
         Conn {
             stream: Rc::new(stream),
             token: None,
+            tls: None,
             rx: Ring::new(HELD),
             tx: Ring::new(HELD),
             connecting,
@@ -80,16 +84,40 @@
                 }
             }
         }
-        if self.flush().is_err() || self.fill().is_err() {
+        // With TLS what is read may call for something to be written, as in the handshake.
+        let done = self.flush().and_then(|()| self.fill()).and_then(|()| self.flush());
+        if done.is_err() {
+            // The peer is told why, where TLS has something to say.
+            let _ = self.flush();
             self.broken = true;
         }
     }
 
+    /// Whether all that was queued has been written.
+    pub fn is_written(&self) -> bool {
+        self.tx.is_empty() && self.tls.as_ref().is_none_or(|tls| !tls.wants_write())
+    }
+
+    /// The peer's chain, once TLS has verified it.
+    pub fn peer_certificates(&self) -> Option<Vec<CertificateDer<'static>>> {
+        let tls = self.tls.as_ref().filter(|tls| !tls.is_handshaking())?;
+        Some(tls.peer_certificates()?.iter().map(|c| c.clone().into_owned()).collect())
+    }
+
+    /// The peer's address.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+
     fn fill(&mut self) -> io::Result<()> {
         let mut chunk = [0u8; 16 * 1024];
         while !self.eof && self.rx.room() > 0 {
             let room = self.rx.room().min(chunk.len());
-            match (&*self.stream).read(&mut chunk[..room]) {
+            let read = match &mut self.tls {
+                None => (&*self.stream).read(&mut chunk[..room]),
+                Some(tls) => decrypt(tls, &self.stream, &mut chunk[..room]),
+            };
+            match read {
                 Ok(0) => self.eof = true,
                 Ok(n) => {
                     self.rx.push(&chunk[..n]);
@@ -103,6 +131,23 @@
     }
 
     fn flush(&mut self) -> io::Result<()> {
+        if let Some(tls) = &mut self.tls {
+            while !self.tx.is_empty() || tls.wants_write() {
+                if !self.tx.is_empty() && !tls.is_handshaking() {
+                    let taken = tls.writer().write(self.tx.front())?;
+                    self.tx.consume(taken);
+                }
+                if !tls.wants_write() {
+                    break;
+                }
+                match tls.write_tls(&mut &*self.stream) {
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                    written => drop(written?),
+                }
+            }
+            return Ok(());
+        }
         while !self.tx.is_empty() {
             match (&*self.stream).write(self.tx.front()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
@@ -122,7 +167,11 @@
     }
 
     /// Ends this side; the peer can still be read.
-    pub fn end_writing(&self) {
+    pub fn end_writing(&mut self) {
+        if let Some(tls) = &mut self.tls {
+            tls.send_close_notify();
+            let _ = self.flush();
+        }
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
@@ -131,3 +180,19 @@
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
+
+/// Reads decrypted bytes; reads from the socket only once all that TLS holds is taken.
+fn decrypt(tls: &mut ServerConnection, mut stream: &TcpStream, into: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match tls.reader().read(into) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            // A peer that ends without saying so in TLS has ended all the same.
+            Err(e) if e.kind() == ErrorKind::UnexpectedEof => return Ok(0),
+            read => return read,
+        }
+        if tls.read_tls(&mut stream)? == 0 {
+            return Ok(0);
+        }
+        tls.process_new_packets().map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -99,6 +99,13 @@
         Ok(id)
     }
 
+    /// Puts TLS on a connection that was just accepted.
+    pub fn secure(&mut self, id: ConnId, tls: rustls::ServerConnection) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
+        conn.tls = Some(Box::new(tls));
+        true
+    }
+
     /// A connection that is open.
     pub fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
         self.conns.get_mut(&id)
