Refuse stale jobs at once with Retry-After; stories of the platform's front

Found by the SIGTERM story: while stopping, close_idle read a call-back and the program exited before the answer was carried out (Platform::tick), and a new connection was closed before its call-back was read (close_idle).

--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -12,6 +12,8 @@
 
 /// How long the end of a connection waits for the peer to end its side, in milliseconds.
 const LINGER: f64 = 1000.0;
+/// How long a connection without a request is left alone while the program stops, in milliseconds.
+const YOUNG: f64 = 250.0;
 /// Longest wait that a client can ask for, in milliseconds.
 const PATIENCE: f64 = 3_600_000.0;
 /// Headers that pass on to a backend server, with those that start with `Req-`.
@@ -162,9 +164,11 @@
         }
     }
 
-    /// Closes what clients hold without a request, so that they go elsewhere.
+    /// Closes what clients hold without a request, so that they go elsewhere. Guards against closing a new
+    /// connection before its first call-back has been read: what is young may yet bring one.
     pub(super) fn close_idle(&mut self, net: &mut Sockets) {
-        let idle = |c: &Client| c.session.is_none() && c.ends.is_none() && !c.calls_back;
+        let young = self.core.clock().now() - YOUNG;
+        let idle = |c: &Client| idle_now(c) && !c.calls_back && c.idle <= young;
         let idle = self.clients.conns.iter().filter(|(_, c)| idle(c)).map(|(&id, _)| id);
         for id in idle.collect::<Vec<_>>() {
             // What has come by now is read first, and denied.
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -130,6 +130,9 @@
         if self.stopping.is_some_and(|since| now >= since + LAST_CALL) {
             self.core.stop();
             self.close_idle(net);
+            // What was read there may have ended a session: it is answered before the program looks whether
+            // all is finished.
+            self.carry_out(net);
         }
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,9 @@
 const SLOW: f64 = 1.75;
 /// A job late by its wait is kept if it still has this part of its worth: it may cost a fresh one all of it.
 const LATE: f64 = 0.5;
+/// Advice to the client of a refused job: by then the jobs that wait now are over. Guards against retries that
+/// come at once and take the place of jobs still in time.
+const COME_BACK: Micros = 2_000_000;
 /// What a worker that turned a job away counts as holding until its next report.
 const FULL: f64 = 1000.0;
 
@@ -144,12 +147,8 @@
                 self.step(now, id, out)
             }
             Wake::Due(id) if self.jobs.get(&id).is_some_and(|p| !p.streaming) => self.give_up(id, out),
-            // Worth little now, and waiting. Failed, not refused: a refusal calls for a retry, and under
-            // overload retries take the place of jobs still in time.
-            Wake::Stale(id) if self.jobs.get(&id).is_some_and(|p| p.waits) => {
-                out.push(Action::Fail { job: id });
-                self.end(id, out);
-            }
+            // Worth little now, and waiting.
+            Wake::Stale(id) if self.jobs.get(&id).is_some_and(|p| p.waits) => self.give_up(id, out),
             _ => {}
         }
     }
@@ -555,7 +554,7 @@
             Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
             _ => p.may_have_run().is_none(),
         };
-        let refusal = Action::Refuse { job: id, retry_after: 0 };
+        let refusal = Action::Refuse { job: id, retry_after: COME_BACK };
         out.push(if harmless { refusal } else { Action::Fail { job: id } });
         self.end(id, out);
     }
--- /dev/null
+++ b/tests/common/net.rs
@@ -0,0 +1,211 @@
+//! Peers for the stories on sockets: the program itself on loopback, and scripted ones around it. Reads wait
+//! for what is to come, with a limit that only a failure meets.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings with a safe class and an unsafe one, and long aims, so that a slow machine is not late.
+pub const SETTINGS: &str = r#"{"balancers": 1, "myNumber": 0, "quantum": 1000, "membershipMode": "subscribe",
+    "grades": [
+      {"name": "avail-search", "aim": 4000000, "hardLimit": 5000000, "semantics": "retryable"},
+      {"name": "confirm-booking", "aim": 4000000, "hardLimit": 5000000, "semantics": "fragile"},
+      {"name": "short-hold", "aim": 100000, "hardLimit": 400000, "semantics": "fragile"}],
+    "caps": {"sendCap": 5, "mayCancel": true, "connIdle": 15000000, "connectTimeout": 250000,
+      "maxRetryAfter": 2000000},
+    "tenants": [{"name": "fraser-parks"}, {"name": "cariboo-rv"}],
+    "familyInfo": {"tellsStart": true, "reportX0": "free slots"}, "report": {"fields": ["queue", "x0"]},
+    "rules": {"coldFrom": 0.1, "cold": 20000000, "tipMultiple": 2.5, "askWithin": 4000000}}"#;
+
+/// A file of the test's own.
+pub fn file(name: &str, text: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    std::fs::write(dir.join(name), text).unwrap();
+    dir.join(name)
+}
+
+/// The program, killed when the story ends.
+pub struct Program {
+    pub child: Child,
+    out: BufReader<ChildStdout>,
+}
+
+impl Program {
+    pub fn start(config: Option<&str>, gearman: Option<&str>) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_micabeam"));
+        for variable in ["LB_CONFIG", "LB_LISTEN", "LB_DISCOVERY", "LB_NAME"] {
+            command.env_remove(variable);
+        }
+        if let Some(config) = config {
+            command.env("LB_CONFIG", file("config.json", config));
+        }
+        if let Some(gearman) = gearman {
+            command.arg("--gearman").arg(file("gearman.json", gearman));
+        }
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        let out = BufReader::new(child.stdout.take().unwrap());
+        Program { child, out }
+    }
+
+    /// The address that the next line it prints ends with.
+    pub fn address(&mut self) -> SocketAddr {
+        let mut line = String::new();
+        self.out.read_line(&mut line).unwrap();
+        line.trim().rsplit(' ').next().unwrap().parse().unwrap_or_else(|_| panic!("printed {line:?}"))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// Waits for its end: whether it ended well, and what it wrote.
+    pub fn wait(mut self) -> (bool, String) {
+        let mut text = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        (self.child.wait().unwrap().success(), text)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The platform's front over scripted backend servers, which the list held before the start.
+pub fn platform(discovery: SocketAddr, hosts: &[(&str, SocketAddr)]) -> (Program, SocketAddr) {
+    let lines: Vec<String> = hosts.iter().map(|(name, dial)| host(name, *dial, "up")).collect();
+    let config = format!(
+        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5eed",
+            "limits": {{"sockets": 256}}, "settings": {SETTINGS},
+            "known": {{"seq": 7, "whole": true, "hosts": [{}]}}}}"#,
+        lines.join(",")
+    );
+    let mut program = Program::start(Some(&config), None);
+    let address = program.address();
+    (program, address)
+}
+
+/// A line of the list.
+pub fn host(name: &str, dial: SocketAddr, health: &str) -> String {
+    format!(r#"{{"host": "{name}", "dial": "{dial}", "health": "{health}", "share": 1.0, "born_ms": 0}}"#)
+}
+
+/// A listener, and its address.
+pub fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// An address at which nobody listens.
+pub fn nobody() -> SocketAddr {
+    listener().1
+}
+
+/// The next connection at any of the listeners; none in good time is a failure.
+pub fn accept_any(listeners: &[&TcpListener]) -> TcpStream {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        for listener in listeners {
+            listener.set_nonblocking(true).unwrap();
+            if let Ok((stream, _)) = listener.accept() {
+                stream.set_nonblocking(false).unwrap();
+                return stream;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("nobody connected");
+}
+
+/// One side of an HTTP connection.
+pub struct Http(pub BufReader<TcpStream>);
+
+impl Http {
+    pub fn connect(address: SocketAddr) -> Http {
+        Http::over(TcpStream::connect(address).unwrap())
+    }
+
+    pub fn accept(listener: &TcpListener) -> Http {
+        Http::over(accept_any(&[listener]))
+    }
+
+    pub fn over(stream: TcpStream) -> Http {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Http(BufReader::new(stream))
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// A whole message: its head and its body. An empty head is the end.
+    pub fn read(&mut self) -> (String, String) {
+        let mut head = String::new();
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line).unwrap_or(0) == 0 {
+                return (String::new(), String::new());
+            }
+            if line.trim().is_empty() {
+                break;
+            }
+            head.push_str(&line);
+        }
+        let mut body = vec![0; value(&head, "content-length").map_or(0, |v| v.parse().unwrap())];
+        self.0.read_exact(&mut body).unwrap();
+        (head, String::from_utf8(body).unwrap())
+    }
+
+    /// Hands a job in.
+    pub fn submit(&mut self, class: &str, id: &str) {
+        self.write(&format!(
+            "POST /{class}/x?y=1 HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: fraser-parks\r\n\
+             Req-Deadline: 4000m\r\nContent-Length: 3\r\n\r\njob"
+        ));
+    }
+
+    /// Calls back, and sees that the call is acknowledged.
+    pub fn call_back(&mut self, id: &str, from: &str, state: &str, result: &str) {
+        let body = format!(r#"{{"id":"{id}","from":"{from}","state":"{state}","result":"{result}"}}"#);
+        self.write(&format!(
+            "POST /v1/job-events HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ));
+        let (head, _) = self.read();
+        assert!(head.starts_with("HTTP/1.1 204"), "{head}");
+    }
+
+    pub fn take(&mut self) {
+        self.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    }
+}
+
+/// A header's value.
+pub fn value(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim().to_string())
+    })
+}
+
+/// A counter, as the program tells it.
+pub fn counter(address: SocketAddr, name: &str) -> u64 {
+    let mut http = Http::connect(address);
+    http.write("GET /counters HTTP/1.1\r\nHost: a\r\n\r\n");
+    let (_, text) = http.read();
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')).unwrap();
+    line.parse().unwrap()
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,274 @@
+//! Stories of the platform's front: the program over loopback among scripted clients, backend servers and
+//! discovery. Each guards against one failure.
+
+#[path = "common/net.rs"]
+mod net;
+
+use std::io::Write;
+
+use net::*;
+
+#[test]
+fn a_call_before_the_202_serves_once_however_often_it_comes() {
+    let ((worker, dial), discovery) = (listener(), nobody());
+    let (_program, address) = platform(discovery, &[("s-1", dial)]);
+    let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
+    client.submit("confirm-booking", "a1");
+    let mut job = Http::accept(&worker);
+    let (head, body) = job.read();
+    assert!(head.starts_with("POST /confirm-booking/x?y=1 HTTP/1.1"), "{head}");
+    assert_eq!((value(&head, "req-id").as_deref(), body.as_str()), (Some("a1"), "job"));
+    assert!(value(&head, "req-deadline").is_some_and(|d| d.ends_with('u')), "{head}");
+    // One from a server that has no dispatch of it is acknowledged and books nothing.
+    calls.call_back("a1", "s-9", "done", "wrong");
+    calls.call_back("a1", "s-1", "started", "");
+    calls.call_back("a1", "s-1", "done", "site 12");
+    let (head, body) = client.read();
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    assert_eq!(body, "site 12");
+    job.take();
+    // Once this is acknowledged the 202 before it has been read.
+    calls.call_back("a1", "s-1", "done", "again");
+    // The connection on which the 202 came late serves the next job, and no second answer is in the way.
+    client.submit("confirm-booking", "a2");
+    let (head, _) = job.read();
+    assert_eq!(value(&head, "req-id").as_deref(), Some("a2"));
+    job.take();
+    calls.call_back("a2", "s-1", "done", "site 13");
+    assert_eq!(client.read().1, "site 13");
+    assert_eq!((counter(address, "taken"), counter(address, "served")), (2, 2));
+}
+
+#[test]
+fn a_refused_connection_never_ran_and_the_job_goes_elsewhere() {
+    let (worker, dial) = listener();
+    let (_program, address) = platform(nobody(), &[("s-1", nobody()), ("s-2", dial), ("s-3", nobody())]);
+    let mut calls = Http::connect(address);
+    for at in 0..3 {
+        let (mut client, id) = (Http::connect(address), format!("b{at}"));
+        client.submit("confirm-booking", &id);
+        let mut job = Http::accept(&worker);
+        job.read();
+        // The next one must come on a new connection.
+        job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        calls.call_back(&id, "s-2", "done", "ok");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    }
+    assert!(counter(address, "never_ran") > 0);
+    assert_eq!(counter(address, "may_have_run"), 0);
+}
+
+#[test]
+fn an_unsafe_job_whose_connection_breaks_after_its_last_byte_is_not_sent_again() {
+    let ((one, dial_one), (two, dial_two)) = (listener(), listener());
+    let (_program, address) = platform(nobody(), &[("s-1", dial_one), ("s-2", dial_two)]);
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "c1");
+    let mut job = Http::over(accept_any(&[&one, &two]));
+    job.read();
+    drop(job);
+    let (head, _) = client.read();
+    assert!(head.starts_with("HTTP/1.1 500"), "{head}");
+    assert_eq!((counter(address, "sent"), counter(address, "may_have_run")), (1, 1));
+    assert!(one.accept().is_err() && two.accept().is_err(), "it was sent again");
+}
+
+#[test]
+fn a_safe_job_that_was_declined_goes_to_the_next_server() {
+    let ((one, dial_one), (two, dial_two)) = (listener(), listener());
+    let (_program, address) = platform(nobody(), &[("s-1", dial_one), ("s-2", dial_two)]);
+    let declined = std::thread::spawn(move || {
+        let mut job = Http::accept(&one);
+        job.read();
+        job.write(
+            "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nSrv-Load: queue=9,x0=0\r\nContent-Length: 0\r\n\r\n",
+        );
+        job.read() // holds the connection open until the program ends it
+    });
+    let mut calls = Http::connect(address);
+    // Whichever is first in the cycle, within two jobs the first server is tried.
+    for id in ["d1", "d2"] {
+        let mut client = Http::connect(address);
+        client.submit("confirm-booking", id);
+        let mut job = Http::accept(&two);
+        job.read();
+        job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        calls.call_back(id, "s-2", "done", "ok");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(counter(address, "never_ran"), 1);
+    drop(_program);
+    declined.join().unwrap();
+}
+
+#[test]
+fn a_client_that_leaves_calls_its_job_off() {
+    let (worker, dial) = listener();
+    let (_program, address) = platform(nobody(), &[("s-1", dial)]);
+    let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
+    client.submit("avail-search", "e1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    job.take();
+    calls.call_back("e1", "s-1", "started", "");
+    drop(client);
+    let (head, _) = job.read();
+    assert!(head.starts_with("DELETE /jobs/e1 HTTP/1.1"), "{head}");
+    job.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    // It comes late all the same, and is acknowledged.
+    calls.call_back("e1", "s-1", "done", "late");
+    assert_eq!((counter(address, "left"), counter(address, "served")), (1, 0));
+    // Before the 202 the connection is closed instead.
+    let mut client = Http::connect(address);
+    client.submit("avail-search", "e2");
+    assert_eq!(value(&job.read().0, "req-id").as_deref(), Some("e2"));
+    drop(client);
+    assert_eq!(job.read().0, "");
+}
+
+#[test]
+fn a_connection_that_the_server_closed_is_not_used_again() {
+    let (worker, dial) = listener();
+    let (_program, address) = platform(nobody(), &[("s-1", dial)]);
+    let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
+    for id in ["f1", "f2", "f3"] {
+        client.submit("confirm-booking", id);
+        let mut job = Http::accept(&worker);
+        assert_eq!(value(&job.read().0, "req-id").as_deref(), Some(id));
+        job.take();
+        drop(job);
+        calls.call_back(id, "s-1", "done", "ok");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(counter(address, "sent"), 3);
+}
+
+#[test]
+fn nothing_free_is_denied_at_once_with_when_to_come_back() {
+    let (_program, address) = platform(nobody(), &[]);
+    let mut client = Http::connect(address);
+    client.submit("short-hold", "g1");
+    let (head, _) = client.read();
+    assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+    let after: f64 = value(&head, "retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0 && after <= 2.0, "{head}");
+}
+
+#[test]
+fn what_does_not_read_gets_its_status_and_harms_nobody() {
+    let (_program, address) = platform(nobody(), &[]);
+    let job = |class: &str, id: &str, deadline: &str| {
+        let head = format!("Req-Id: {id}\r\nReq-Deadline: {deadline}\r\nContent-Length: 0");
+        format!("POST /{class} HTTP/1.1\r\n{head}\r\n\r\n")
+    };
+    let cases = [
+        ("\u{1}\u{2} nonsense\r\n\r\n".to_string(), "400"),
+        ("POST /avail-search HTTP/1.1\r\nContent-Length: 65537\r\n\r\n".into(), "413"),
+        ("POST /avail-search HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n".into(), "400"),
+        ("POST /avail-search HTTP/1.1\r\nContent-Length: +1\r\n\r\n".into(), "400"),
+        ("POST /avail-search HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".into(), "501"),
+        (format!("POST /avail-search HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000)), "413"),
+        (job("no-such-class", "h1", "400m"), "404"),
+        (job("avail-search", "h2", "soon"), "400"),
+        (job("avail-search", "", "400m"), "400"),
+        ("PUT /avail-search HTTP/1.1\r\nContent-Length: 0\r\n\r\n".into(), "405"),
+        (format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: 5000\r\n\r\n{}", "[".repeat(5000)), "400"),
+    ];
+    for (text, status) in cases {
+        let mut client = Http::connect(address);
+        client.write(&text);
+        let (head, _) = client.read();
+        assert!(head.starts_with(&format!("HTTP/1.1 {status}")), "{text:.60}: {head}");
+    }
+    let mut up = Http::connect(address);
+    up.write("GET /up HTTP/1.1\r\n\r\n");
+    assert!(up.read().0.starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn the_watch_goes_on_and_a_draining_server_gets_nothing_new() {
+    let ((discovery, at), (one, dial_one), (two, dial_two)) = (listener(), listener(), listener());
+    let (_program, address) = platform(at, &[("s-1", dial_one), ("s-2", dial_two)]);
+    let answer = |watch: &mut Http, status: &str, seq: u64, hosts: &str| {
+        let body = format!(r#"{{"seq": {seq}, "whole": false, "hosts": [{hosts}]}}"#);
+        watch.write(&format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    };
+    let mut watch = Http::accept(&discovery);
+    let (head, _) = watch.read();
+    assert!(head.starts_with("GET /discovery/hosts?since=7&timeout_ms="), "{head}");
+    answer(&mut watch, "503 Busy", 0, "");
+    // A failed call is followed by another, later, on a new connection.
+    let mut watch = Http::accept(&discovery);
+    watch.read();
+    answer(&mut watch, "200 OK", 8, &host("s-1", dial_one, "draining"));
+    let (head, _) = watch.read();
+    assert!(head.starts_with("GET /discovery/hosts?since=8&"), "{head}");
+    one.set_nonblocking(true).unwrap();
+    let mut calls = Http::connect(address);
+    for at in 0..4 {
+        let (mut client, id) = (Http::connect(address), format!("i{at}"));
+        client.submit("confirm-booking", &id);
+        let mut job = Http::accept(&two);
+        job.read();
+        job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        calls.call_back(&id, "s-2", "done", "ok");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    }
+    assert!(one.accept().is_err(), "a draining server was sent a job");
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_says_that_it_closes() {
+    let (worker, dial) = listener();
+    let (program, address) = platform(nobody(), &[("s-1", dial)]);
+    let (mut client, mut idle) = (Http::connect(address), Http::connect(address));
+    idle.write("GET /up HTTP/1.1\r\n\r\n");
+    idle.read();
+    client.submit("confirm-booking", "j1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    job.take();
+    program.signal("TERM");
+    // The idle connection ends while the job is still out; its call-back is taken on a new connection.
+    assert_eq!(idle.read().0, "");
+    Http::connect(address).call_back("j1", "s-1", "done", "kept");
+    let (head, body) = client.read();
+    assert!(head.starts_with("HTTP/1.1 200") && body == "kept", "{head}");
+    assert_eq!(value(&head, "connection").as_deref(), Some("close"));
+    let (well, text) = program.wait();
+    assert!(well && text.contains("served 1\n") && text.contains("taken 1\n"), "{text}");
+}
+
+#[test]
+fn many_requests_at_once_on_one_connection_are_answered_one_by_one() {
+    let (_program, address) = platform(nobody(), &[]);
+    let mut client = Http::connect(address);
+    let one = "POST /no HTTP/1.1\r\n\r\n";
+    let mut stream = client.0.get_ref().try_clone().unwrap();
+    let writer = std::thread::spawn(move || stream.write_all(one.repeat(5000).as_bytes()));
+    for _ in 0..5000 {
+        assert!(client.read().0.starts_with("HTTP/1.1 404"));
+    }
+    writer.join().unwrap().unwrap();
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_plain_line() {
+    let deep = "[".repeat(100_000);
+    let few = format!(
+        r#"{{"settings": {SETTINGS}, "limits": {{"sockets": 3}}, "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:1"}}"#
+    );
+    for (config, says) in [
+        ("{", "parse"),
+        (deep.as_str(), "nested"),
+        ("{}", "settings"),
+        (r#"{"settings": {"quantum": 1}}"#, "missing field"),
+        (few.as_str(), "too few"),
+    ] {
+        let (well, text) = Program::start(Some(config), None).wait();
+        assert!(!well && text.lines().count() == 1 && text.to_lowercase().contains(says), "{says}: {text}");
+    }
+    let (well, text) = Program::start(None, None).wait();
+    assert!(!well && text.lines().count() == 1, "{text}");
+}
