Stories of the Gearman front; jobs held look again when their first worker comes

Seen: in two stories a worker joined an empty list and the job that waited was left until it was stale (4 s). Cause: src/logic.rs list() rebuilt the cycle and left held jobs to their next step, one running time later. Ports at which nobody listens stay bound in tests: freed ones could go to another story, whose listener then waited for ever.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -207,7 +207,14 @@
             w.ready = ready;
         }
         if changed {
+            let bare: Vec<bool> = self.cycles.iter().map(|c| c.order.is_empty()).collect();
             self.rebuild();
+            // Guards against jobs that wait out their time while the first worker for them stands idle.
+            for (_, id) in &self.held {
+                if let Some(p) = self.jobs.get(id).filter(|p| bare[p.cycle]) {
+                    self.wakes.push(Reverse((now, Wake::Step(*id, p.walk))));
+                }
+            }
         }
     }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -109,9 +109,14 @@
     (listener, address)
 }
 
-/// An address at which nobody listens.
+/// An address at which nobody listens. The port stays bound until the test program ends: freed, it could be
+/// given to a listener of another story.
 pub fn nobody() -> SocketAddr {
-    listener().1
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 /// The next connection at any of the listeners; none in good time is a failure.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -419,3 +419,11 @@
     });
     assert_eq!(apart, together);
 }
+
+#[test]
+fn a_worker_that_comes_takes_a_job_that_waits() {
+    let mut world = World::new(settings(), &[]);
+    let (_, actions) = world.job(2);
+    assert_eq!(sent(&actions), None);
+    assert_eq!(sent(&world.handle(Event::Changes(&[member(1, 1.0)]))), Some(WorkerId(1)));
+}
