--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,8 +29,8 @@
 const SLOW: f64 = 1.75;
 /// A job late by its wait is kept if it still has this part of its worth: it may cost a fresh one all of it.
 const LATE: f64 = 0.5;
-/// Advice to the client of a refused job: by then the jobs that wait now are over. Guards against retries that
-/// come at once and take the place of jobs still in time.
+/// Advice to the client of a refused job: by then the jobs that wait now are over. Guards against retries
+/// that come at once and take the place of jobs still in time.
 const COME_BACK: Micros = 2_000_000;
 /// What a worker that turned a job away counts as holding until its next report.
 const FULL: f64 = 1000.0;
