Bound sessions below connections, share descriptors, reuse places of Gearman workers

Found by rereading, each with its cause: - At the client bound with every connection in a session, accept() left the level-triggered listener readable: the loop would spin and the backlog, which counts as taken, stay unanswered. Sessions are now bounded 64 below connections (net/budget.rs), and a request that has come is read before its connection makes room (clients.rs accept). Story: 60 clients on 17 connections. - A Req-Id with a blank would have broken the DELETE of its job: 400 now. - Each Gearman worker that came back took a new place in the server table, which the module never forgets: places are used again, told apart by when the worker started. - The record kept safe answers as long as unsafe ones and by default filled at 4.5 jobs/s. - Both fronts together could pass the descriptor limit: Gearman's share comes off first.

--- a/src/front/gearman/clients.rs
+++ b/src/front/gearman/clients.rs
@@ -139,8 +139,9 @@
     pub(super) fn answer(&mut self, net: &mut Sockets, session: SessionId, verdict: Verdict) {
         let Some(job) = self.jobs.remove(&session) else { return };
         let handle = Self::handle(session);
-        let keep = self.core.clock().now() + self.config.keep;
         let is_unsafe = self.config.site.settings.classes[job.function].repeat != Repeat::Safe;
+        // A safe job may make room at any time: it can run again.
+        let keep = self.core.clock().now() + if is_unsafe { self.config.keep } else { 0.0 };
         if let Some(key) = &job.key {
             match &verdict {
                 Verdict::Served(result) => {
--- a/src/front/gearman/config.rs
+++ b/src/front/gearman/config.rs
@@ -99,8 +99,8 @@
             functions,
             kinds,
             site,
-            record: (bound("entries", 4096.0), bound("bytes", 16_777_216.0)),
-            keep: number(record, "keep_s").unwrap_or(900.0).max(0.0) * 1e3,
+            record: (bound("entries", 65_536.0), bound("bytes", 67_108_864.0)),
+            keep: number(record, "keep_s").unwrap_or(300.0).max(0.0) * 1e3,
             identity,
         })
     }
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -102,6 +102,11 @@
         &self.core
     }
 
+    /// Connections that it may hold.
+    pub fn peers(&self) -> usize {
+        self.config.peers
+    }
+
     /// Accepts what waits; beyond the bound a connection is closed at once, so that nothing is taken from it.
     pub fn accept(&mut self, net: &mut Sockets) {
         for _ in 0..64 {
--- a/src/front/gearman/record.rs
+++ b/src/front/gearman/record.rs
@@ -6,6 +6,9 @@
 
 use crate::core::SessionId;
 
+/// Lines looked at to make room for one.
+const LOOK: usize = 64;
+
 /// A job as its client names it: the function's number and the `unique`.
 pub type Key = (usize, Vec<u8>);
 
@@ -61,8 +64,9 @@
     /// Makes room for one more job. False where all that is held must be kept: then a job that must not run
     /// twice is better denied than run without a record.
     pub fn make_room(&mut self, now: f64) -> bool {
-        // One look at each line: those that must stay go to the end.
-        for _ in 0..self.order.len() {
+        // The oldest first; those that must stay go to the end. A bounded look, so that a full record does not
+        // cost each submission a walk through all of it.
+        for _ in 0..self.order.len().min(LOOK) {
             if self.lines.len() < self.entries && self.held < self.bytes {
                 return true;
             }
--- a/src/front/gearman/workers.rs
+++ b/src/front/gearman/workers.rs
@@ -1,6 +1,6 @@
 //! Workers: each connection is a backend server that is offered dispatches and fetches them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rustc_hash::FxHashMap;
 
@@ -27,6 +27,8 @@
 /// What is known of a worker.
 pub(super) struct Worker {
     server: WorkerId,
+    /// Its place in the server table, free again when it leaves.
+    place: usize,
     name: String,
     /// What it can do, by number, and within which time, in milliseconds.
     functions: BTreeMap<usize, f64>,
@@ -158,10 +160,15 @@
             return self.error(net, id, "other_kind", "a worker's functions are of one kind");
         }
         let patience = self.config.site.connect_timeout;
+        // Guards against a table that grows with each worker that comes back: places are used again.
+        let taken: BTreeSet<usize> =
+            self.peers.values().filter_map(|p| Some(p.worker.as_ref()?.place)).collect();
+        let place = (0..).find(|place| !taken.contains(place)).unwrap_or(0);
         if let Some(peer) = self.peers.get_mut(&id) {
             peer.worker.get_or_insert_with(|| Worker {
                 server: WorkerId::default(),
-                name: format!("worker-{id}"),
+                place,
+                name: format!("worker-{place}"),
                 functions: BTreeMap::new(),
                 sleeps: false,
                 offered: VecDeque::new(),
@@ -197,8 +204,9 @@
         }
         let member = self.core.table().get(worker.server).map(|s| s.line.member).unwrap_or_default();
         let kind = kind.map_or(member.kind, |kind| kind as u16);
-        // Not listed as cold: it fetches one job at a time, so that it cannot be pushed over.
-        let member = Member { kind, size: 1.0, state, ..member };
+        // Told apart from the one that had its place before by when it started, which is long ago: a worker
+        // that fetches one job at a time cannot be pushed over, and is not held to be cold.
+        let member = Member { kind, size: 1.0, state, born: id, ..member };
         let line = Line { name: worker.name.clone(), address: String::new(), member };
         worker.state = state;
         let name = worker.name.clone();
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -85,10 +85,12 @@
     /// counts as taken, so that nothing may be left in it.
     pub fn accept(&mut self, net: &mut Sockets) {
         for _ in 0..64 {
-            if self.clients.conns.len() >= self.clients.most {
-                match self.clients.idlest() {
-                    Some(idle) => self.drop_client(net, idle),
-                    None => return,
+            while self.clients.conns.len() >= self.clients.most {
+                let Some(idle) = self.clients.idlest() else { return };
+                // A request that has come by now is taken or denied first.
+                self.client_ready(net, idle);
+                if self.clients.conns.get(&idle).is_some_and(|c| c.session.is_none()) {
+                    self.drop_client(net, idle);
                 }
             }
             let Some(id) = net.accept(self.clients.listener) else { return };
@@ -213,7 +215,7 @@
             Some(text) => span(text),
             None => Some(self.core.site().grades[class].hard_limit),
         };
-        let req_id = message.header("req-id").filter(|id| !id.is_empty() && !self.ids.contains_key(*id));
+        let req_id = message.header("req-id").filter(|id| is_id(id) && !self.ids.contains_key(*id));
         let (Some(wait), Some(req_id)) = (wait, req_id) else {
             return self.reply(net, id, 400, &[], b"Req-Id or Req-Deadline does not read\n", close);
         };
@@ -295,6 +297,12 @@
     client.session.is_none() && client.ends.is_none()
 }
 
+/// Whether an id can stand in a path, as it must to call a dispatch off.
+fn is_id(id: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_graphic() && !matches!(b, b'/' | b'?' | b'#' | b'%');
+    (1..=128).contains(&id.len()) && id.bytes().all(fits)
+}
+
 /// The slots among a request's further figures.
 fn slots(extra: &str) -> Option<f64> {
     let value = |pair: &str| {
--- a/src/main.rs
+++ b/src/main.rs
@@ -59,7 +59,9 @@
     };
     let platform = match (&config, &path) {
         (Some(config), Some(path)) => {
-            Some(open_platform(config, &mut net, &clock).map_err(|e| format!("{path}: {e}"))?)
+            // What Gearman's connections may take is not the platform's to give out.
+            let taken = gearman.as_ref().map_or(0, Gearman::peers);
+            Some(open_platform(config, taken, &mut net, &clock).map_err(|e| format!("{path}: {e}"))?)
         }
         _ => None,
     };
@@ -111,13 +113,19 @@
     address.parse().map_err(|_| format!("`{name}` is no address: {address}"))
 }
 
-fn open_platform(config: &JsonValue, net: &mut Net<Gateway>, clock: &Clock) -> Result<Platform, String> {
+fn open_platform(
+    config: &JsonValue,
+    taken: usize,
+    net: &mut Net<Gateway>,
+    clock: &Clock,
+) -> Result<Platform, String> {
     let site = Site::read(field(config, "settings").ok_or("no `settings`")?)?;
     let seed = text(config, "seed").unwrap_or("0");
     let seed =
         u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hexadecimal number: {seed}"))?;
     let sockets = field(config, "limits").and_then(|l| number(l, "sockets")).unwrap_or(SOCKETS);
-    let budget = Budget::of(sockets as usize).ok_or_else(|| format!("{sockets} sockets are too few"))?;
+    let budget = Budget::of((sockets as usize).saturating_sub(taken))
+        .ok_or_else(|| format!("{sockets} sockets are too few"))?;
     let known = match field(config, "known") {
         Some(list) => platform::read_list(list, &site).map(|(seq, lines, _)| (seq, lines))?,
         None => (0, Vec::new()),
@@ -126,6 +134,6 @@
     let listen = address(config, "LB_LISTEN", "listen")?;
     let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     println!("micabeam: listening at {local}");
-    let core = Core::new(site, seed, clock.clone(), budget.clients);
+    let core = Core::new(site, seed, clock.clone(), budget.sessions);
     Ok(Platform::new(core, listener, budget, discovery, known))
 }
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -5,6 +5,9 @@
 /// Descriptors planned with at most: memory is planned for no more.
 const MOST: usize = 4096;
 
+/// Connections of clients that have no session even when sessions are at their bound.
+const SPARE: usize = 64;
+
 /// Connections of each sort that may be open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
@@ -12,6 +15,9 @@
     pub clients: usize,
     /// To backend servers.
     pub backends: usize,
+    /// Sessions at most: fewer than clients, so that there is always a connection without one that can make
+    /// room for the next.
+    pub sessions: usize,
 }
 
 impl Budget {
@@ -19,6 +25,7 @@
     /// until they have taken a job, clients until it is done.
     pub fn of(sockets: usize) -> Option<Budget> {
         let left = sockets.min(MOST).checked_sub(RESERVED).filter(|&left| left >= 16)?;
-        Some(Budget { clients: left - left / 4, backends: left / 4 })
+        let clients = left - left / 4;
+        Some(Budget { clients, backends: left / 4, sessions: clients - (clients / 2).min(SPARE) })
     }
 }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -85,10 +85,19 @@
 
 /// The platform's front over scripted backend servers, which the list held before the start.
 pub fn platform(discovery: SocketAddr, hosts: &[(&str, SocketAddr)]) -> (Program, SocketAddr) {
+    platform_with(256, discovery, hosts)
+}
+
+/// The same with so many descriptors.
+pub fn platform_with(
+    sockets: usize,
+    discovery: SocketAddr,
+    hosts: &[(&str, SocketAddr)],
+) -> (Program, SocketAddr) {
     let lines: Vec<String> = hosts.iter().map(|(name, dial)| host(name, *dial, "up")).collect();
     let config = format!(
         r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5eed",
-            "limits": {{"sockets": 256}}, "settings": {SETTINGS},
+            "limits": {{"sockets": {sockets}}}, "settings": {SETTINGS},
             "known": {{"seq": 7, "whole": true, "hosts": [{}]}}}}"#,
         lines.join(",")
     );
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -171,6 +171,7 @@
         (job("no-such-class", "h1", "400m"), "404"),
         (job("avail-search", "h2", "soon"), "400"),
         (job("avail-search", "", "400m"), "400"),
+        (job("avail-search", "h3 HTTP/1.1", "400m"), "400"),
         ("PUT /avail-search HTTP/1.1\r\nContent-Length: 0\r\n\r\n".into(), "405"),
         (format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: 5000\r\n\r\n{}", "[".repeat(5000)), "400"),
     ];
@@ -272,3 +273,30 @@
     let (well, text) = Program::start(None, None).wait();
     assert!(!well && text.lines().count() == 1, "{text}");
 }
+
+#[test]
+fn more_clients_than_descriptors_all_get_an_answer() {
+    let (worker, dial) = listener();
+    // 70 descriptors leave 17 connections for clients, and 9 sessions.
+    let (_program, address) = platform_with(70, nobody(), &[("s-1", dial)]);
+    let send = |at: usize| {
+        let mut client = Http::connect(address);
+        let head = format!("POST /short-hold HTTP/1.1\r\nReq-Id: k{at}\r\nContent-Length: 0\r\n\r\n");
+        let _ = client.0.get_mut().write_all(head.as_bytes());
+        client
+    };
+    let mut clients: Vec<Http> = (0..60).map(send).collect();
+    let mut statuses = Vec::new();
+    for (at, client) in clients.iter_mut().enumerate() {
+        let mut head = client.read().0;
+        while head.is_empty() {
+            // Closed before its request was read: it is sent once more, as the protocol has it.
+            head = send(at).read().0;
+        }
+        statuses.push(head.chars().skip(9).take(3).collect::<String>());
+    }
+    let count = |status: &str| statuses.iter().filter(|s| s.as_str() == status).count();
+    assert_eq!(count("503") + count("500"), 60, "{statuses:?}");
+    assert!(count("503") >= 30, "{statuses:?}");
+    drop(worker);
+}
