--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,7 +2,7 @@
 
 use super::Ring;
 
-/// Longest head and longest body that are read.
+/// Longest head that is read.
 pub const HEAD: usize = 16 * 1024;
 /// Longest body that is read.
 pub const BODY: usize = 64 * 1024;
@@ -48,12 +48,7 @@
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     let bytes = ring.bytes();
-    let head = match parsed.parse(bytes) {
-        Ok(httparse::Status::Complete(head)) if head <= HEAD => head,
-        Ok(httparse::Status::Partial) if bytes.len() <= HEAD => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::TooLarge),
-        Err(_) => return Err(Bad::Malformed),
-    };
+    let Some(head) = head(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
     let mut message = Message {
         method: parsed.method.unwrap_or("").to_string(),
         target: parsed.path.unwrap_or("").to_string(),
@@ -76,12 +71,7 @@
         let mut headers = [httparse::EMPTY_HEADER; HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let bytes = ring.bytes();
-        let head = match parsed.parse(bytes) {
-            Ok(httparse::Status::Complete(head)) if head <= HEAD => head,
-            Ok(httparse::Status::Partial) if bytes.len() <= HEAD => return Ok(None),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::TooLarge),
-            Err(_) => return Err(Bad::Malformed),
-        };
+        let Some(head) = head(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
         let status = parsed.code.unwrap_or(0);
         if (100..200).contains(&status) {
             ring.consume(head);
@@ -105,6 +95,16 @@
     }
 }
 
+/// The length of a head that was parsed out of so many bytes, if it is whole.
+fn head(parsed: httparse::Result<usize>, bytes: usize) -> Result<Option<usize>, Bad> {
+    match parsed {
+        Ok(httparse::Status::Complete(head)) if head <= HEAD => Ok(Some(head)),
+        Ok(httparse::Status::Partial) if bytes <= HEAD => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad::TooLarge),
+        Err(_) => Err(Bad::Malformed),
+    }
+}
+
 fn owned(headers: &[httparse::Header<'_>]) -> Result<Vec<(String, String)>, Bad> {
     let one = |h: &httparse::Header<'_>| {
         let value = std::str::from_utf8(h.value).map_err(|_| Bad::Malformed)?;
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,104 @@
+//! The core by itself: plain events in, commands out, on a clock that the test sets.
+
+#[path = "common/net.rs"]
+mod net;
+
+use micabeam::api::{Member, Outcome, Report};
+use micabeam::core::{Clock, Command, Core, Line, Request, SessionId, Verdict};
+use micabeam::settings::Site;
+
+const START: f64 = 1_700_000_000_000.0;
+
+fn core(limit: usize, servers: &[&str]) -> (Core, Clock) {
+    let clock = Clock::manual(START);
+    let site = Site::parse(net::SETTINGS.as_bytes()).unwrap();
+    let mut core = Core::new(site, 1, clock.clone(), limit);
+    let line = |name: &&str| Line {
+        name: name.to_string(),
+        address: String::new(),
+        member: Member { size: 1.0, ..Member::default() },
+    };
+    core.listed(servers.iter().map(line).collect(), true);
+    (core, clock)
+}
+
+fn request(class: usize, wait: f64) -> Request {
+    Request { class, due: START + wait, slots: 1.0 }
+}
+
+fn commands(core: &mut Core) -> Vec<Command> {
+    std::iter::from_fn(|| core.next_command()).collect()
+}
+
+fn answers(commands: &[Command]) -> Vec<(SessionId, Verdict)> {
+    let answer = |c: &Command| match c {
+        Command::Answer { session, verdict } => Some((*session, verdict.clone())),
+        _ => None,
+    };
+    commands.iter().filter_map(answer).collect()
+}
+
+#[test]
+fn news_of_a_dispatch_count_once() {
+    let (mut core, _) = core(10, &["a"]);
+    let id = core.request(request(1, 4000.0)).unwrap();
+    assert!(matches!(commands(&mut core)[..], [Command::Send { session, attempt: 0, .. }] if session == id));
+    assert!(core.ended(id, 0, Outcome::Served, Report::default(), b"ok".to_vec()));
+    assert!(!core.ended(id, 0, Outcome::Served, Report::default(), b"again".to_vec()));
+    assert!(!core.ended(id, 0, Outcome::Reset, Report::default(), Vec::new()));
+    assert_eq!(answers(&commands(&mut core)), [(id, Verdict::Served(b"ok".to_vec()))]);
+    let counters = core.counters();
+    assert_eq!((counters.served, counters.stray, core.open()), (1, 2, 0));
+}
+
+#[test]
+fn a_silent_server_is_given_up_by_the_deadline() {
+    let (mut core, clock) = core(10, &["a"]);
+    for class in [0, 1] {
+        let id = core.request(request(class, clock.now() - START + 400.0)).unwrap();
+        assert_eq!(commands(&mut core).len(), 1);
+        let end = clock.now() + 400.0;
+        let mut told = Vec::new();
+        while let Some(at) = core.wake_at().filter(|&at| at <= end) {
+            clock.set(at);
+            core.tick();
+            told.extend(commands(&mut core));
+        }
+        // Answered in time, and the dispatch called off; only the safe one may be called harmless.
+        let verdict = if class == 0 { Verdict::Denied { retry_after: 2000.0 } } else { Verdict::Failed };
+        assert_eq!(answers(&told), [(id, verdict)]);
+        assert!(told.contains(&Command::Cancel { session: id, attempt: 0 }), "{told:?}");
+        assert!(clock.now() <= end && core.open() == 0);
+    }
+}
+
+#[test]
+fn what_cannot_be_held_is_denied_and_counted() {
+    let (mut core, _) = core(1, &["a"]);
+    core.request(request(1, 4000.0)).unwrap();
+    assert_eq!(core.request(request(1, 4000.0)), Err(Verdict::Denied { retry_after: 2000.0 }));
+    assert!(core.request(request(1, -1.0)).is_err(), "its deadline has passed");
+    core.stop();
+    assert!(core.request(request(1, 4000.0)).is_err(), "the program stops");
+    let counters = core.counters();
+    assert_eq!((counters.taken, counters.turned_away, counters.sent), (4, 3, 1));
+}
+
+#[test]
+fn every_dispatcher_makes_the_same_ids_of_the_same_names() {
+    let (one, _) = core(1, &["a", "b", "c"]);
+    let (two, _) = core(1, &["c", "a"]);
+    assert_eq!(one.table().id("a"), two.table().id("a"));
+    assert_eq!(one.table().id("c"), two.table().id("c"));
+    assert_ne!(one.table().id("a"), one.table().id("b"));
+    assert_eq!(two.table().listed().len(), 2);
+}
+
+#[test]
+fn a_clock_never_runs_backwards() {
+    let clock = Clock::manual(5.0);
+    clock.set(4.0);
+    assert_eq!(clock.now(), 5.0);
+    clock.set(6.5);
+    assert_eq!(clock.now(), 6.5);
+}
