--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -12,6 +12,8 @@
 
 /// How long the end of a connection waits for the peer to end its side, in milliseconds.
 const LINGER: f64 = 1000.0;
+/// Bytes of a refused request that are read at once, lest they keep its client from its answer.
+const DRAINED: usize = 16 << 20;
 /// How long a connection without a request is left alone while the program stops, in milliseconds.
 const YOUNG: f64 = 250.0;
 /// Longest wait that a client can ask for, in milliseconds.
@@ -100,18 +102,27 @@
     }
 
     pub(super) fn client_ready(&mut self, net: &mut Sockets, id: ConnId) {
+        let mut drained = 0;
         loop {
             let Some(conn) = net.conn(id) else { return };
             conn.pump();
             let (gone, closing, written) = (conn.eof || conn.broken, conn.closing, conn.tx.is_empty());
             if closing {
-                conn.rx.consume(conn.rx.len());
-                if gone {
-                    self.drop_client(net, id);
-                } else if written {
+                let unread = conn.rx.len();
+                conn.rx.consume(unread);
+                drained += unread;
+                // Guards against a client that is still sending what was refused: unread, it would never be
+                // told of it; read without a bound, it would keep the loop.
+                if gone || drained > DRAINED {
+                    return self.drop_client(net, id);
+                }
+                if written {
                     self.linger(net, id);
                 }
-                return;
+                if unread == 0 {
+                    return;
+                }
+                continue;
             }
             if gone {
                 return self.drop_client(net, id);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -300,3 +300,14 @@
     assert!(count("503") >= 30, "{statuses:?}");
     drop(worker);
 }
+
+#[test]
+fn a_client_that_goes_on_sending_is_told_that_it_is_too_much() {
+    let (_program, address) = platform(nobody(), &[]);
+    let mut client = Http::connect(address);
+    let mut stream = client.0.get_ref().try_clone().unwrap();
+    stream.write_all(b"POST /avail-search HTTP/1.1\r\nContent-Length: 15000000\r\n\r\n").unwrap();
+    let writer = std::thread::spawn(move || stream.write_all(&vec![b'x'; 15_000_000]));
+    assert!(client.read().0.starts_with("HTTP/1.1 413"));
+    writer.join().unwrap().expect("all of it was read");
+}
