Give each connection 64 messages a turn, so that no peer keeps the others waiting

Seen by rereading: client_ready (platform) and look (Gearman) read from a connection for as long as it had whole messages, so that one that never stops asking held the one thread. What remains is read in the next round of the loop, after the other connections. Story: 20 others are answered while one client floods.

--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -28,6 +28,8 @@
 
 /// How long a peer whose connection is ended may take to end its side, in milliseconds.
 const LINGER: f64 = 1000.0;
+/// Packets read from a connection before others have their turn.
+const TURNS: usize = 64;
 /// How long a peer may take to prove who it is, in milliseconds.
 const INTRODUCTION: f64 = 5000.0;
 
@@ -74,6 +76,8 @@
     stopping: Option<f64>,
     /// Connections to be looked at again.
     again: VecDeque<ConnId>,
+    /// Connections that had their turns and may hold more.
+    later: Vec<ConnId>,
 }
 
 impl Gearman {
@@ -94,6 +98,7 @@
             config,
             stopping: None,
             again: VecDeque::new(),
+            later: Vec::new(),
         })
     }
 
@@ -147,7 +152,13 @@
     }
 
     fn look(&mut self, net: &mut Sockets, id: ConnId) {
+        let mut turns = 0;
         loop {
+            // Guards against one peer that sends without end and keeps all others waiting.
+            turns += 1;
+            if turns > TURNS {
+                return self.later.push(id);
+            }
             let (Some(conn), Some(peer)) = (net.conn(id), self.peers.get_mut(&id)) else { return };
             conn.pump();
             if conn.closing {
@@ -279,6 +290,9 @@
             identity.reread(now);
         }
         self.core.tick();
+        for conn in std::mem::take(&mut self.later) {
+            self.look(net, conn);
+        }
         self.carry_out(net);
         self.expire_workers(now);
         self.carry_out(net);
@@ -296,6 +310,9 @@
     /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
         let now = self.core.clock().now();
+        if !self.later.is_empty() {
+            return now;
+        }
         let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
         let peers = self.peers.values().filter_map(|p| {
             let introduction = (!p.known).then_some(p.since + INTRODUCTION);
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -14,6 +14,8 @@
 const LINGER: f64 = 1000.0;
 /// Bytes of a refused request that are read at once, lest they keep its client from its answer.
 const DRAINED: usize = 16 << 20;
+/// Requests read from a connection before others have their turn.
+const TURNS: usize = 64;
 /// How long a connection without a request is left alone while the program stops, in milliseconds.
 const YOUNG: f64 = 250.0;
 /// Longest wait that a client can ask for, in milliseconds.
@@ -40,11 +42,14 @@
     ending: usize,
     /// Connections that were answered and not looked at since.
     pub answered: Vec<ConnId>,
+    /// Connections that had their turns and may hold more.
+    pub later: Vec<ConnId>,
 }
 
 impl Clients {
     pub fn new(listener: usize, most: usize) -> Clients {
-        Clients { listener, most, conns: FxHashMap::default(), ending: 0, answered: Vec::new() }
+        let conns = FxHashMap::default();
+        Clients { listener, most, conns, ending: 0, answered: Vec::new(), later: Vec::new() }
     }
 
     pub fn owns(&self, conn: ConnId) -> bool {
@@ -53,6 +58,9 @@
 
     /// When the next ending connection has waited long enough.
     pub fn next(&self) -> f64 {
+        if !self.later.is_empty() {
+            return 0.0;
+        }
         if self.ending == 0 {
             return f64::INFINITY;
         }
@@ -102,7 +110,7 @@
     }
 
     pub(super) fn client_ready(&mut self, net: &mut Sockets, id: ConnId) {
-        let mut drained = 0;
+        let (mut drained, mut turns) = (0, 0);
         loop {
             let Some(conn) = net.conn(id) else { return };
             conn.pump();
@@ -130,6 +138,11 @@
             if self.clients.conns.get(&id).is_none_or(|c| c.session.is_some()) {
                 return;
             }
+            // Guards against one client that sends without end and keeps all others waiting.
+            turns += 1;
+            if turns > TURNS {
+                return self.clients.later.push(id);
+            }
             match http::request(&mut conn.rx) {
                 Ok(None) => return,
                 Ok(Some(message)) => self.request(net, id, message),
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -122,6 +122,9 @@
     /// Does what is due by now.
     pub fn tick(&mut self, net: &mut Sockets) {
         self.core.tick();
+        for conn in std::mem::take(&mut self.clients.later) {
+            self.client_ready(net, conn);
+        }
         self.expire_backends(net);
         self.tick_discovery(net);
         self.carry_out(net);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -311,3 +311,23 @@
     assert!(client.read().0.starts_with("HTTP/1.1 413"));
     writer.join().unwrap().expect("all of it was read");
 }
+
+#[test]
+fn a_client_that_never_stops_asking_does_not_keep_others_waiting() {
+    let (_program, address) = platform(nobody(), &[]);
+    let greedy = Http::connect(address);
+    let mut stream = greedy.0.get_ref().try_clone().unwrap();
+    let mut answers = greedy.0.get_ref().try_clone().unwrap();
+    let text = "POST /no HTTP/1.1\r\n\r\n".repeat(2000);
+    // Both end when the story shuts their connection.
+    let asks = std::thread::spawn(move || while stream.write_all(text.as_bytes()).is_ok() {});
+    let reads = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+    for _ in 0..20 {
+        let mut other = Http::connect(address);
+        other.write("GET /up HTTP/1.1\r\n\r\n");
+        assert!(other.read().0.starts_with("HTTP/1.1 200"));
+    }
+    greedy.0.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+    asks.join().unwrap();
+    let _ = reads.join().unwrap();
+}
