Reread the configuration on SIGHUP and follow discovery to its new address

Checked: main.rs registered SIGTERM, SIGINT and SIGUSR1 only, so that the default action ran; ruled out a crash of the loop, the log ends without a message. Lines at fault: the signal set in main.rs; beside it the discovery address was fixed for the program's life in discovery.rs.

Now both files are read and checked as a whole before any part is taken over (settings, limits, discovery; for Gearman its bounds, settings and identity); what does not read, or has other names, leaves all in force and says so in one line. At a new address the whole list is asked for first, since its versions need not go on. LB_DISCOVERY only counts at the start: after that the file's changes are followed.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -93,6 +93,24 @@
         }
     }
 
+    /// Whether settings that were read again can be taken over. Names are numbers in all that is open, so that
+    /// other names take a restart.
+    pub fn fits(&self, site: &Site) -> Result<(), String> {
+        let kinds = |site: &Site| site.settings.classes.iter().map(|c| c.kind).collect::<Vec<_>>();
+        let grades = |site: &Site| site.grades.iter().map(|g| g.name.clone()).collect::<Vec<_>>();
+        let same = grades(site) == grades(&self.site) && kinds(site) == kinds(&self.site);
+        if !same || (&site.kinds, &site.zones) != (&self.site.kinds, &self.site.zones) {
+            return Err("other `grades`, `kinds` or `zones` take a restart".into());
+        }
+        Ok(())
+    }
+
+    /// Takes over settings that fit, and a bound on sessions; what is open goes on under them.
+    pub fn adopt(&mut self, site: Site, limit: usize) {
+        self.module.adopt(site.settings.clone());
+        (self.site, self.limit) = (site, limit);
+    }
+
     /// Takes a request in. Without an id it was turned away, and the verdict is its answer.
     pub fn request(&mut self, request: Request) -> Result<SessionId, Verdict> {
         let id = stages::take_in::take_in(self);
--- a/src/front/gearman/config.rs
+++ b/src/front/gearman/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::identity::IdentityFiles;
-use crate::json::{self, JsonValue, field, number, text};
+use crate::json::{JsonValue, field, number, text};
 use crate::settings::Site;
 
 /// A function that is offered.
@@ -109,11 +109,4 @@
     pub fn function(&self, name: &[u8]) -> Option<usize> {
         self.functions.iter().position(|f| f.name == name)
     }
-
-    /// Reads the file at a path.
-    pub fn load(path: &str, deployment: Option<&JsonValue>) -> Result<Config, String> {
-        let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
-        let file = json::parse(&bytes).map_err(|e| format!("{path}: {e}"))?;
-        Config::read(&file, deployment).map_err(|e| format!("{path}: {e}"))
-    }
 }
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -28,6 +28,8 @@
 
 /// How long a peer whose connection is ended may take to end its side, in milliseconds.
 const LINGER: f64 = 1000.0;
+/// Sessions for each connection that may be open.
+const JOBS: usize = 16;
 /// Packets read from a connection before others have their turn.
 const TURNS: usize = 64;
 /// How long a peer may take to prove who it is, in milliseconds.
@@ -83,9 +85,8 @@
 impl Gearman {
     /// A front on a listener that is open.
     pub fn new(config: Config, seed: u64, clock: Clock, listener: usize) -> Result<Gearman, String> {
-        let limit = config.peers * 16;
         let identity = config.identity.clone().map(Identity::load).transpose()?;
-        let mut core = Core::new(config.site.clone(), seed, clock, limit);
+        let mut core = Core::new(config.site.clone(), seed, clock, config.peers * JOBS);
         core.listed(Vec::new(), true);
         Ok(Gearman {
             core,
@@ -102,6 +103,27 @@
         })
     }
 
+    /// Whether a file that was read again can be taken over without a restart, and the identity that goes with
+    /// it. Functions are numbers in all that is open.
+    pub fn fits(&self, config: &Config) -> Result<Option<Identity>, String> {
+        let names = |c: &Config| c.functions.iter().map(|f| (f.name.clone(), f.kind)).collect::<Vec<_>>();
+        if names(config) != names(&self.config) || config.kinds != self.config.kinds {
+            return Err("other functions or kinds take a restart".into());
+        }
+        if config.identity.is_some() != self.identity.is_some() {
+            return Err("to begin or end with `identity` takes a restart".into());
+        }
+        self.core.fits(&config.site)?;
+        config.identity.clone().map(Identity::load).transpose()
+    }
+
+    /// Takes over a file that fits, and its identity.
+    pub fn reload(&mut self, config: Config, identity: Option<Identity>) {
+        self.core.adopt(config.site.clone(), config.peers * JOBS);
+        self.record.adopt(config.record.0, config.record.1);
+        (self.config, self.identity) = (config, identity);
+    }
+
     /// Its core.
     pub fn core(&self) -> &Core {
         &self.core
--- a/src/front/gearman/record.rs
+++ b/src/front/gearman/record.rs
@@ -56,6 +56,11 @@
         Record { lines: FxHashMap::default(), order: VecDeque::new(), entries, bytes, held: 0 }
     }
 
+    /// Takes over other bounds.
+    pub fn adopt(&mut self, entries: usize, bytes: usize) {
+        (self.entries, self.bytes) = (entries, bytes);
+    }
+
     /// What is known of a job.
     pub fn get(&self, key: &Key) -> Option<&Entry> {
         self.lines.get(key).map(|line| &line.entry)
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod platform;
 
 use crate::core::Clock;
+use crate::json::{self, JsonValue, field};
 use crate::net::{ConnId, Handler, Net};
 
 use gearman::Gearman;
@@ -15,6 +16,37 @@
 /// Time for which a program that stops goes on accepting, in milliseconds.
 pub const LAST_CALL: f64 = 500.0;
 
+/// The files that the settings come from.
+pub struct Files {
+    /// The platform's configuration.
+    pub config: Option<String>,
+    /// The operator's file of Gearman's front.
+    pub gearman: Option<String>,
+}
+
+impl Files {
+    /// Reads those there are. What Gearman's connections may take is not the platform's to give out.
+    pub fn read(&self) -> Result<(Option<platform::Config>, Option<gearman::Config>), String> {
+        let config = self.config.as_deref().map(load).transpose()?;
+        let settings = config.as_ref().and_then(|c| field(c, "settings"));
+        let gearman = self
+            .gearman
+            .as_ref()
+            .map(|path| gearman::Config::read(&load(path)?, settings).map_err(|e| format!("{path}: {e}")));
+        let gearman = gearman.transpose()?;
+        let taken = gearman.as_ref().map_or(0, |g| g.peers);
+        let platform = config
+            .zip(self.config.as_ref())
+            .map(|(config, path)| platform::Config::read(&config, taken).map_err(|e| format!("{path}: {e}")));
+        Ok((platform.transpose()?, gearman))
+    }
+}
+
+fn load(path: &str) -> Result<JsonValue, String> {
+    let bytes = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    json::parse(&bytes).map_err(|e| format!("{path}: {e}"))
+}
+
 /// All that runs in the program's one thread.
 pub struct Gateway {
     /// The sockets.
@@ -25,6 +57,8 @@
     pub gearman: Option<Gearman>,
     /// The clock.
     pub clock: Clock,
+    /// The files that its settings come from.
+    pub files: Files,
 }
 
 impl Gateway {
@@ -54,6 +88,30 @@
         }
     }
 
+    /// Reads the files again and takes their settings over; what is in flight goes on. An error leaves all
+    /// settings in force as they are.
+    pub fn reload(&mut self) -> Result<(), String> {
+        let (config, file) = self.files.read()?;
+        // Both must fit before either is taken over.
+        let of = |files: &Option<String>| files.clone().unwrap_or_default();
+        if let (Some(front), Some(config)) = (&self.platform, &config) {
+            front.fits(config).map_err(|e| format!("{}: {e}", of(&self.files.config)))?;
+        }
+        let identity = match (&self.gearman, &file) {
+            (Some(front), Some(file)) => {
+                front.fits(file).map_err(|e| format!("{}: {e}", of(&self.files.gearman)))?
+            }
+            _ => None,
+        };
+        if let (Some(front), Some(config)) = (&mut self.platform, config) {
+            front.reload(&mut self.net, config);
+        }
+        if let (Some(front), Some(file)) = (&mut self.gearman, file) {
+            front.reload(file, identity);
+        }
+        Ok(())
+    }
+
     /// Whether it has stopped.
     pub fn stopped(&mut self) -> bool {
         let platform = self.platform.as_mut().is_none_or(|front| front.stopped(&mut self.net));
--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -59,6 +59,12 @@
         Backends { conns: FxHashMap::default(), pool: Pool::new(conn_idle), flights, most }
     }
 
+    /// Takes over another idle time and another bound.
+    pub fn adopt(&mut self, conn_idle: f64, most: usize) {
+        self.pool.keep_below(conn_idle);
+        self.most = most;
+    }
+
     pub fn owns(&self, conn: ConnId) -> bool {
         self.conns.contains_key(&conn)
     }
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -37,7 +37,7 @@
 /// All of them.
 pub(super) struct Clients {
     pub listener: usize,
-    most: usize,
+    pub most: usize,
     conns: FxHashMap<ConnId, Client>,
     ending: usize,
     /// Connections that were answered and not looked at since.
--- a/src/front/platform/discovery.rs
+++ b/src/front/platform/discovery.rs
@@ -28,14 +28,17 @@
 /// The one connection to discovery.
 pub(super) struct Discovery {
     address: SocketAddr,
+    /// The address in the file as last read. The environment may have named another one at the start.
+    told: Option<SocketAddr>,
     conn: Option<ConnId>,
-    seq: u64,
+    /// The version held; none where the next call asks for the whole list.
+    seq: Option<u64>,
     watch: Watch,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, seq: u64) -> Discovery {
-        Discovery { address, conn: None, seq, watch: Watch::Off }
+    pub fn new(address: SocketAddr, told: Option<SocketAddr>, seq: u64) -> Discovery {
+        Discovery { address, told, conn: None, seq: Some(seq), watch: Watch::Off }
     }
 
     pub fn owns(&self, conn: ConnId) -> bool {
@@ -85,7 +88,8 @@
         if matches!(self.discovery.watch, Watch::Calling { .. }) {
             return;
         }
-        let until = self.core.clock().now() + WAIT + GRACE;
+        let wait = self.discovery.seq.map_or(0.0, |_| WAIT);
+        let until = self.core.clock().now() + wait + GRACE;
         self.discovery.watch = Watch::Calling { until };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
         let conn = match self.discovery.conn.filter(fresh) {
@@ -99,7 +103,10 @@
         };
         let Ok(conn) = conn else { return self.discovery_failed(net) };
         self.discovery.conn = Some(conn);
-        let target = format!("/discovery/hosts?since={}&timeout_ms={WAIT}", self.discovery.seq);
+        let target = match self.discovery.seq {
+            Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={WAIT}"),
+            None => "/discovery/hosts".to_string(),
+        };
         let host = [("Host", self.discovery.address.to_string())];
         net.write(conn, &http::ask("GET", &target, &host, None));
     }
@@ -140,11 +147,22 @@
                 self.drop_idle(net, id);
             }
         }
-        self.discovery.seq = seq;
+        self.discovery.seq = Some(seq);
         self.discovery.watch = Watch::Pausing { until: self.core.clock().now() + PAUSE };
         self.core.listed(lines, whole);
     }
 
+    /// Goes over to the discovery service that the configuration names, if it names another one than before.
+    /// Its versions need not go on from those of the old one, which soon ends all watches: the whole list is
+    /// asked for first.
+    pub(super) fn follow(&mut self, net: &mut Sockets, told: Option<SocketAddr>) {
+        let Some(address) = told.filter(|_| told != self.discovery.told) else { return };
+        self.hang_up(net);
+        let watch = Watch::Pausing { until: self.core.clock().now() };
+        self.discovery = Discovery { address, told, conn: None, seq: None, watch };
+        self.tick_discovery(net);
+    }
+
     fn hang_up(&mut self, net: &mut Sockets) {
         if let Some(conn) = self.discovery.conn.take() {
             net.close(conn);
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod callbacks;
 mod clients;
+mod config;
 mod discovery;
 mod probes;
 
@@ -13,13 +14,13 @@
 
 use super::{LAST_CALL, Sockets};
 use crate::api::{Outcome, Report};
-use crate::core::{Command, Core, Line, SessionId};
-use crate::net::{Budget, ConnId};
+use crate::core::{Clock, Command, Core, SessionId};
+use crate::net::ConnId;
 
 use backends::Backends;
 use clients::Clients;
+pub use config::Config;
 use discovery::Discovery;
-pub use discovery::read_list;
 
 /// What a session's request looked like on the wire.
 struct Job {
@@ -42,20 +43,14 @@
 }
 
 impl Platform {
-    /// A front on a listener that is open, with the list as last held and its version.
-    pub fn new(
-        core: Core,
-        listener: usize,
-        budget: Budget,
-        discovery: SocketAddr,
-        known: (u64, Vec<Line>),
-    ) -> Platform {
-        let conn_idle = core.site().conn_idle;
+    /// A front on a listener that is open, with the list as last held.
+    pub fn new(config: Config, clock: Clock, listener: usize, discovery: SocketAddr) -> Platform {
+        let Config { site, seed, budget, known, .. } = config;
         let mut front = Platform {
             clients: Clients::new(listener, budget.clients),
-            backends: Backends::new(conn_idle, budget.backends),
-            discovery: Discovery::new(discovery, known.0),
-            core,
+            backends: Backends::new(site.conn_idle, budget.backends),
+            discovery: Discovery::new(discovery, config.discovery, known.0),
+            core: Core::new(site, seed, clock, budget.sessions),
             jobs: FxHashMap::default(),
             ids: FxHashMap::default(),
             stopping: None,
@@ -64,6 +59,20 @@
         front
     }
 
+    /// Whether a configuration that was read again can be taken over without a restart.
+    pub fn fits(&self, config: &Config) -> Result<(), String> {
+        self.core.fits(&config.site)
+    }
+
+    /// Takes over a configuration that fits: its settings and limits, and the discovery service that it names.
+    pub fn reload(&mut self, net: &mut Sockets, config: Config) {
+        self.clients.most = config.budget.clients;
+        self.backends.adopt(config.site.conn_idle, config.budget.backends);
+        self.core.adopt(config.site, config.budget.sessions);
+        self.follow(net, config.discovery);
+        self.carry_out(net);
+    }
+
     /// Its core.
     pub fn core(&self) -> &Core {
         &self.core
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Takes over settings that were read again. The classes are the same ones.
+    pub fn adopt(&mut self, settings: Settings) {
+        self.settings = settings;
+        self.rebuild();
+    }
+
     /// Takes one event at time `now` and adds what follows from it to `out`.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
         match event {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -14,7 +14,14 @@
     /// A pool for peers that close what has stood idle for `limit` milliseconds. It gives a connection up well
     /// before: a request that crosses the closing would be lost.
     pub fn new(limit: f64) -> Pool<K> {
-        Pool { idle: FxHashMap::default(), keep: (limit * 0.8).min(limit - 500.0).max(0.0) }
+        let mut pool = Pool { idle: FxHashMap::default(), keep: 0.0 };
+        pool.keep_below(limit);
+        pool
+    }
+
+    /// Takes over another limit.
+    pub fn keep_below(&mut self, limit: f64) {
+        self.keep = (limit * 0.8).min(limit - 500.0).max(0.0);
     }
 
     /// The idle connections to a peer that are young enough, newest first, are taken out one by one.
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{Child, ChildStderr, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -36,7 +36,10 @@
 /// The program, killed when the story ends.
 pub struct Program {
     pub child: Child,
+    /// Its configuration and its operator's file, where it has them.
+    pub files: [Option<PathBuf>; 2],
     out: BufReader<ChildStdout>,
+    pub err: BufReader<ChildStderr>,
 }
 
 impl Program {
@@ -45,15 +48,18 @@
         for variable in ["LB_CONFIG", "LB_LISTEN", "LB_DISCOVERY", "LB_NAME"] {
             command.env_remove(variable);
         }
-        if let Some(config) = config {
-            command.env("LB_CONFIG", file("config.json", config));
+        let files =
+            [config.map(|text| file("config.json", text)), gearman.map(|text| file("gearman.json", text))];
+        if let Some(config) = &files[0] {
+            command.env("LB_CONFIG", config);
         }
-        if let Some(gearman) = gearman {
-            command.arg("--gearman").arg(file("gearman.json", gearman));
+        if let Some(gearman) = &files[1] {
+            command.arg("--gearman").arg(gearman);
         }
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
         let out = BufReader::new(child.stdout.take().unwrap());
-        Program { child, out }
+        let err = BufReader::new(child.stderr.take().unwrap());
+        Program { child, files, out, err }
     }
 
     /// The address that the next line it prints ends with.
@@ -63,6 +69,15 @@
         line.trim().rsplit(' ').next().unwrap().parse().unwrap_or_else(|_| panic!("printed {line:?}"))
     }
 
+    /// Replaces one of its files, has it read again, and gives the line that it says then.
+    pub fn reload(&mut self, at: usize, text: &str) -> String {
+        std::fs::write(self.files[at].as_ref().unwrap(), text).unwrap();
+        self.signal("HUP");
+        let mut line = String::new();
+        self.err.read_line(&mut line).unwrap();
+        line
+    }
+
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
@@ -71,7 +86,7 @@
     /// Waits for its end: whether it ended well, and what it wrote.
     pub fn wait(mut self) -> (bool, String) {
         let mut text = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        self.err.read_to_string(&mut text).unwrap();
         (self.child.wait().unwrap().success(), text)
     }
 }
@@ -94,16 +109,20 @@
     discovery: SocketAddr,
     hosts: &[(&str, SocketAddr)],
 ) -> (Program, SocketAddr) {
+    let mut program = Program::start(Some(&config(sockets, discovery, hosts)), None);
+    let address = program.address();
+    (program, address)
+}
+
+/// The configuration that it starts with.
+pub fn config(sockets: usize, discovery: SocketAddr, hosts: &[(&str, SocketAddr)]) -> String {
     let lines: Vec<String> = hosts.iter().map(|(name, dial)| host(name, *dial, "up")).collect();
-    let config = format!(
+    format!(
         r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5eed",
             "limits": {{"sockets": {sockets}}}, "settings": {SETTINGS},
             "known": {{"seq": 7, "whole": true, "hosts": [{}]}}}}"#,
         lines.join(",")
-    );
-    let mut program = Program::start(Some(&config), None);
-    let address = program.address();
-    (program, address)
+    )
 }
 
 /// A line of the list.
--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -47,6 +47,31 @@
     client.expect(kind::ECHO_RES);
 }
 
+#[test]
+fn sighup_takes_a_file_over_and_keeps_the_job_in_flight() {
+    let text = |peers: usize| {
+        format!(
+            r#"{{"listen": "127.0.0.1:0", "settings": {}, "peers": {peers},
+                "functions": {{"confirm": {{"class": "confirm-booking"}}}}}}"#,
+            net::SETTINGS
+        )
+    };
+    let mut program = net::Program::start(None, Some(&text(2)));
+    let address = program.address();
+    let (mut worker, mut client) = (Gear::worker(address, &["confirm"]), Gear::connect(address));
+    let handle = client.submit("confirm", "u1", "site 12");
+    assert_eq!(worker.fetch().unwrap().0, handle);
+    let bad = text(3).replace("\"confirm\":", "\"other\":");
+    assert!(program.reload(1, &bad).starts_with("micabeam: the old settings stay in force: "));
+    assert!(Gear::connect(address).read().is_none(), "a third peer was taken");
+    assert_eq!(program.reload(1, &text(3)), "micabeam: the configuration was read again\n");
+    let mut third = Gear::connect(address);
+    third.send(kind::ECHO_REQ, &["here"]);
+    third.expect(kind::ECHO_RES);
+    worker.send(kind::WORK_COMPLETE, &[&handle, "booked"]);
+    assert_eq!(client.expect(kind::WORK_COMPLETE), [handle.as_str(), "booked"]);
+}
+
 #[test]
 fn what_could_not_be_answered_gets_an_error_and_the_connection_goes_on() {
     let (_program, address) = gearman("");
--- a/tests/identity.rs
+++ b/tests/identity.rs
@@ -5,7 +5,7 @@
 #[path = "common/net.rs"]
 mod net;
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
@@ -196,8 +196,14 @@
     until(&format!("{}{}", old.1, new.1), &bundle, &new_desk);
     until(&new.1, &bundle, &new_desk);
     std::fs::write(&bundle, "no certificate").unwrap();
-    let said = BufReader::new(program.child.stderr.take().unwrap()).lines().map(Result::unwrap);
-    assert!(said.into_iter().any(|line| line.contains("the old identity stays in force")));
+    assert!(
+        program
+            .err
+            .by_ref()
+            .lines()
+            .map(Result::unwrap)
+            .any(|line| line.contains("the old identity stays in force"))
+    );
     assert!(takes(address, Some(&new_desk)), "the last good files stay in force");
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -240,6 +240,41 @@
     assert!(well && text.contains("served 1\n") && text.contains("taken 1\n"), "{text}");
 }
 
+#[test]
+fn sighup_follows_discovery_keeps_what_is_in_flight_and_leaves_a_bad_file_alone() {
+    let ((old, old_at), (new, new_at)) = (listener(), listener());
+    let ((worker, dial), (next, next_dial)) = (listener(), listener());
+    let (mut program, address) = platform(old_at, &[("s-1", dial)]);
+    let mut watch = Http::accept(&old);
+    watch.read();
+    let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
+    client.submit("confirm-booking", "r1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    job.take();
+    // Half a file, one whose classes have other names, and one with an address that is none.
+    let good = config(256, new_at, &[]);
+    let (half, other) = (good[..90].to_string(), good.replace("avail-search", "avail"));
+    for bad in [half, other, good.replace(&new_at.to_string(), "nowhere")] {
+        let line = program.reload(0, &bad);
+        assert!(line.starts_with("micabeam: the old settings stay in force: "), "{line}");
+    }
+    assert_eq!(program.reload(0, &good), "micabeam: the configuration was read again\n");
+    // The old watch ends; the new service, whose versions may differ, is asked for the whole list.
+    assert_eq!(watch.read().0, "");
+    let mut watch = Http::accept(&new);
+    let (head, _) = watch.read();
+    assert!(head.starts_with("GET /discovery/hosts HTTP/1.1"), "{head}");
+    let body = format!(r#"{{"seq": 3, "whole": true, "hosts": [{}]}}"#, host("s-2", next_dial, "up"));
+    watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    assert!(watch.read().0.starts_with("GET /discovery/hosts?since=3&"));
+    calls.call_back("r1", "s-1", "done", "kept");
+    assert_eq!(client.read().1, "kept");
+    client.submit("confirm-booking", "r2");
+    let (head, _) = Http::accept(&next).read();
+    assert_eq!(value(&head, "req-id").as_deref(), Some("r2"));
+}
+
 #[test]
 fn many_requests_at_once_on_one_connection_are_answered_one_by_one() {
     let (_program, address) = platform(nobody(), &[]);
