--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -71,6 +71,8 @@
     commands: VecDeque<Command>,
     counters: Counters,
     stopping: bool,
+    /// Since when, and by when all that came since is to be over.
+    hurry: Option<(f64, f64)>,
 }
 
 impl Core {
@@ -90,6 +92,7 @@
             commands: VecDeque::new(),
             counters: Counters::default(),
             stopping: false,
+            hurry: None,
         }
     }
 
@@ -114,7 +117,7 @@
     /// Takes a request in. Without an id it was turned away, and the verdict is its answer.
     pub fn request(&mut self, request: Request) -> Result<SessionId, Verdict> {
         let id = stages::take_in::take_in(self);
-        stages::admit::admit(self, &request)?;
+        let request = stages::admit::admit(self, request)?;
         stages::route::arrive(self, id, request);
         Ok(id)
     }
@@ -183,6 +186,11 @@
         self.commands.pop_front()
     }
 
+    /// What is taken in from one time on is to be over by another.
+    pub fn hurry(&mut self, from: f64, end: f64) {
+        self.hurry = Some((from, end));
+    }
+
     /// From now on new requests are denied.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/core/stages/admit.rs
+++ b/src/core/stages/admit.rs
@@ -4,11 +4,17 @@
 
 /// Guards against more sessions than memory is planned for, and against new ones while the program stops.
 /// Nothing was sent, so that a denial is harmless for any class.
-pub fn admit(core: &mut Core, request: &Request) -> Result<(), Verdict> {
+pub fn admit(core: &mut Core, mut request: Request) -> Result<Request, Verdict> {
+    // Guards against a request that is taken while the program stops and found unanswered by the kill.
+    if let Some((from, end)) = core.hurry
+        && core.clock.now() >= from
+    {
+        request.due = request.due.min(end);
+    }
     let full = core.sessions.len() >= core.limit;
     let late = request.due <= core.clock.now();
     if !(full || late || core.stopping) {
-        return Ok(());
+        return Ok(request);
     }
     core.counters.turned_away += 1;
     // A full dispatcher has room again when sessions end; one that stops has gone by then.
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -15,7 +15,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::{LAST_CALL, Sockets};
+use super::{Leaving, Sockets};
 use crate::api::WorkerId;
 use crate::core::{Clock, Command, Core, SessionId};
 use crate::net::ConnId;
@@ -75,7 +75,7 @@
     jobs: FxHashMap<SessionId, Job>,
     record: Record,
     identity: Option<Identity>,
-    stopping: Option<f64>,
+    stopping: Option<Leaving>,
     /// Connections to be looked at again.
     again: VecDeque<ConnId>,
     /// Connections that had their turns and may hold more.
@@ -138,7 +138,7 @@
     pub fn accept(&mut self, net: &mut Sockets) {
         for _ in 0..64 {
             let Some(id) = net.accept(self.listener) else { return };
-            if self.peers.len() >= self.config.peers || self.stopping.is_some() {
+            if self.peers.len() >= self.config.peers || self.closes() {
                 net.close(id);
                 continue;
             }
@@ -323,7 +323,7 @@
         for id in over.collect::<Vec<_>>() {
             self.leave(net, id);
         }
-        if self.stopping.is_some_and(|since| now >= since + LAST_CALL) {
+        if self.closes() {
             self.core.stop();
         }
         self.carry_out(net);
@@ -340,22 +340,25 @@
             let introduction = (!p.known).then_some(p.since + INTRODUCTION);
             p.ends.or(introduction)
         });
-        let stop = self.stopping.map_or(f64::INFINITY, |since| (since + LAST_CALL).max(now + 20.0));
+        let stop = self.stopping.map_or(f64::INFINITY, |leaving| leaving.last_call.max(now + 20.0));
         let workers = self.peers.values().filter_map(|p| p.worker.as_ref()).map(Worker::next);
         peers.chain(workers).fold(wake.min(stop), f64::min)
     }
 
     /// Begins to stop.
     pub fn stop(&mut self) {
-        let now = self.core.clock().now();
-        self.stopping.get_or_insert(now);
+        self.stopping.get_or_insert_with(|| Leaving::begin(&mut self.core));
+    }
+
+    /// Whether it is past its last call.
+    fn closes(&self) -> bool {
+        self.stopping.is_some_and(|leaving| self.core.clock().now() >= leaving.last_call)
     }
 
     /// Whether all that was taken is answered and written.
     pub fn stopped(&mut self, net: &mut Sockets) -> bool {
-        let over = self.stopping.is_some_and(|since| self.core.clock().now() >= since + LAST_CALL);
         let written = |id: &ConnId| net.conn(*id).is_none_or(|c| c.is_written() || c.broken);
-        over && self.core.open() == 0 && self.peers.keys().all(written)
+        self.closes() && self.core.open() == 0 && self.peers.keys().all(written)
     }
 
     /// The handle of a session's job.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,7 +3,7 @@
 pub mod gearman;
 pub mod platform;
 
-use crate::core::Clock;
+use crate::core::{Clock, Core};
 use crate::json::{self, JsonValue, field};
 use crate::net::{ConnId, Handler, Net};
 
@@ -13,8 +13,35 @@
 /// The sockets of the gateway.
 pub type Sockets = Net<Gateway>;
 
-/// Time for which a program that stops goes on accepting, in milliseconds.
-pub const LAST_CALL: f64 = 500.0;
+/// A stop that has begun, in milliseconds of the clock. Until `last_call` all goes on as before: another
+/// dispatcher of the zone may be away as well, and then nobody else would take the requests. After it
+/// connections are closed between requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    /// Nothing new is taken from here on.
+    pub last_call: f64,
+}
+
+impl Leaving {
+    /// A kill comes no sooner than the longest deadline, counted as `LONGEST` at most, and `MORE` after the
+    /// signal; what came within `MORE` may be left unanswered by it.
+    const LONGEST: f64 = 3000.0;
+    const MORE: f64 = 700.0;
+    /// Left for the last answers to go out, and for the signal to come in.
+    const MARGIN: f64 = 400.0;
+    /// How long the program goes on taking requests at most. What comes last has half of the time left.
+    const SERVES: f64 = 1700.0;
+
+    /// A stop that begins now.
+    pub fn begin(core: &mut Core) -> Leaving {
+        let now = core.clock().now();
+        let longest = core.site().grades.iter().map(|g| g.hard_limit).fold(0.0, f64::max);
+        let end = longest.min(Leaving::LONGEST) + Leaving::MORE - Leaving::MARGIN;
+        let serves = Leaving::SERVES.min(end / 2.0);
+        core.hurry(now + Leaving::MORE - Leaving::MARGIN, now + end);
+        Leaving { last_call: now + serves }
+    }
+}
 
 /// The files that the settings come from.
 pub struct Files {
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -307,7 +307,7 @@
         body: &[u8],
         close: bool,
     ) {
-        let close = close || self.stopping.is_some() || matches!(status, 400 | 413 | 501);
+        let close = close || self.closes() || matches!(status, 400 | 413 | 501);
         if !net.write(id, &http::answer(status, headers, body, close)) {
             return self.drop_client(net, id);
         }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -12,7 +12,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::{LAST_CALL, Sockets};
+use super::{Leaving, Sockets};
 use crate::api::{Outcome, Report};
 use crate::core::{Clock, Command, Core, SessionId};
 use crate::net::ConnId;
@@ -39,7 +39,7 @@
     discovery: Discovery,
     jobs: FxHashMap<SessionId, Job>,
     ids: FxHashMap<Rc<str>, SessionId>,
-    stopping: Option<f64>,
+    stopping: Option<Leaving>,
 }
 
 impl Platform {
@@ -139,7 +139,7 @@
         self.carry_out(net);
         let now = self.core.clock().now();
         self.sweep_clients(net, now);
-        if self.stopping.is_some_and(|since| now >= since + LAST_CALL) {
+        if self.closes() {
             self.core.stop();
             self.close_idle(net);
             // What was read there may have ended a session: it is answered before the program looks whether
@@ -150,8 +150,8 @@
 
     /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
-        let last_call = self.stopping.map_or(f64::INFINITY, |since| {
-            let end = since + LAST_CALL;
+        let last_call = self.stopping.map_or(f64::INFINITY, |leaving| {
+            let end = leaving.last_call;
             // Past it, look again and again whether all is finished.
             if self.core.clock().now() < end { end } else { self.core.clock().now() + 20.0 }
         });
@@ -161,13 +161,16 @@
 
     /// Begins to stop.
     pub fn stop(&mut self) {
-        let now = self.core.clock().now();
-        self.stopping.get_or_insert(now);
+        self.stopping.get_or_insert_with(|| Leaving::begin(&mut self.core));
+    }
+
+    /// Whether it is past its last call.
+    fn closes(&self) -> bool {
+        self.stopping.is_some_and(|leaving| self.core.clock().now() >= leaving.last_call)
     }
 
     /// Whether all that was taken is answered and written.
     pub fn stopped(&mut self, net: &mut Sockets) -> bool {
-        let over = self.stopping.is_some_and(|since| self.core.clock().now() >= since + LAST_CALL);
-        over && self.core.open() == 0 && self.clients.all_written(net)
+        self.closes() && self.core.open() == 0 && self.clients.all_written(net)
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,7 +38,10 @@
                 Ok(()) => eprintln!("micabeam: the configuration was read again"),
                 Err(e) => eprintln!("micabeam: the old settings stay in force: {}", e.replace('\n', " ")),
             },
-            _ => gateway.stop(),
+            _ => {
+                gateway.stop();
+                eprintln!("micabeam: stopping");
+            }
         })
         .map_err(|e| e.to_string())?;
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -73,6 +73,11 @@
     pub fn reload(&mut self, at: usize, text: &str) -> String {
         std::fs::write(self.files[at].as_ref().unwrap(), text).unwrap();
         self.signal("HUP");
+        self.line()
+    }
+
+    /// The next line of its log.
+    pub fn line(&mut self) -> String {
         let mut line = String::new();
         self.err.read_line(&mut line).unwrap();
         line
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -84,6 +84,21 @@
     assert_eq!((counters.taken, counters.turned_away, counters.sent), (4, 3, 1));
 }
 
+#[test]
+fn what_comes_while_the_program_stops_is_over_before_the_kill() {
+    let (mut core, clock) = core(10, &["a"]);
+    core.hurry(START + 300.0, START + 3300.0);
+    let early = core.request(request(1, 9000.0)).unwrap();
+    clock.set(START + 300.0);
+    let late = core.request(request(1, 9000.0)).unwrap();
+    assert_eq!(core.session(early).map(|s| s.request.due), Some(START + 9000.0));
+    while let Some(at) = core.wake_at().filter(|&at| at <= START + 3300.0) {
+        clock.set(at);
+        core.tick();
+    }
+    assert_eq!(answers(&commands(&mut core)), [(late, Verdict::Failed)]);
+}
+
 #[test]
 fn every_dispatcher_makes_the_same_ids_of_the_same_names() {
     let (one, _) = core(1, &["a", "b", "c"]);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -221,7 +221,7 @@
 #[test]
 fn sigterm_finishes_what_was_taken_and_says_that_it_closes() {
     let (worker, dial) = listener();
-    let (program, address) = platform(nobody(), &[("s-1", dial)]);
+    let (mut program, address) = platform(nobody(), &[("s-1", dial)]);
     let (mut client, mut idle) = (Http::connect(address), Http::connect(address));
     idle.write("GET /up HTTP/1.1\r\n\r\n");
     idle.read();
@@ -230,6 +230,14 @@
     job.read();
     job.take();
     program.signal("TERM");
+    assert_eq!(program.line(), "micabeam: stopping\n");
+    // Those that have a connection go on being served: the other dispatchers may be away as well.
+    let mut kept = Http::connect(address);
+    for _ in 0..2 {
+        kept.write("POST /no HTTP/1.1\r\n\r\n");
+        let (head, _) = kept.read();
+        assert!(head.starts_with("HTTP/1.1 404") && value(&head, "connection").is_none(), "{head}");
+    }
     // The idle connection ends while the job is still out; its call-back is taken on a new connection.
     assert_eq!(idle.read().0, "");
     Http::connect(address).call_back("j1", "s-1", "done", "kept");
