Let own attempts bound a worker's free slots; count drift since its last report

Checked in `past`: the report (refreshed each 0.5 to 1.3 s, up to 0.5 s late) could show slots free that this dispatcher's own attempts held, and what was sent before the last report change was counted a second time, so that free workers looked full. At fault: src/logic.rs, `past` (no bound by own attempts) and `read` (drift kept over two changes).

Both tests fail without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -204,7 +204,7 @@
             }
             if m.born != w.member.born {
                 (w.failures, w.rest, w.budget, w.reckoned) = (0, 0, self.rng.f64(), now);
-                (w.report, w.drift) = (Report::default(), [0.0; 2]);
+                (w.report, w.drift) = (Report::default(), 0.0);
             }
             // A listed size that wavers does not rebuild the cycle.
             let resized = (size - w.member.size).abs() > size / TURNS;
@@ -390,7 +390,7 @@
         let usual = (self.pressure * w.member.size).max(1.0);
         let slots_seen = self.kinds[usize::from(w.member.kind)].slots;
         let places = if slots_seen > 0.0 { slots_seen } else { usual };
-        let drift = w.drift[0] + w.drift[1];
+        let drift = w.drift;
         let queue = match (r.free_slots, r.queue, r.held) {
             (Some(free), Some(queue), _) => drift + if queue >= 1.0 { queue } else { -free },
             // More held than slots are taken: some wait, though a slot may be free that the first does not
@@ -407,6 +407,9 @@
             (None, None, None) if self.settings.tells_start => w.waiting - 1.0,
             (None, None, None) => w.waiting - 3.0,
         };
+        // Guards against a report that is too old to show what is out there: own attempts take their slots
+        // whatever it says.
+        let queue = if slots_seen > 0.0 { queue.max(w.own - slots_seen) } else { queue };
         let past = (queue + slots.max(1.0)) / places * self.run;
         // Guards against machines that crawl or share their cores: a free slot there is no gain.
         if w.slowness > SLOW { past.max(self.run / places) * w.slowness } else { past }
@@ -417,7 +420,7 @@
         let Some(&i) = self.index.get(&id).filter(|_| *report != Report::default()) else { return };
         let w = &mut self.workers[i];
         if *report != w.report {
-            w.drift = [w.drift[1], 0.0];
+            w.drift = 0.0;
         }
         (w.report, w.read) = (*report, now);
         let held = report.held.unwrap_or(0.0) / w.member.size;
@@ -500,7 +503,8 @@
         p.attempts.push(Attempt { worker: i, sent: now, out: true, free, started: false, never_ran: false });
         let w = &mut self.workers[i];
         w.waiting += 1.0;
-        w.drift[1] += p.job.slots.max(1.0);
+        w.drift += p.job.slots.max(1.0);
+        w.own += p.job.slots.max(1.0);
         w.budget -= 1.0;
         out.push(Action::Send { job: id, worker: w.member.worker });
     }
@@ -510,7 +514,7 @@
         match e.outcome {
             Outcome::Served => self.workers[i].failures = 0,
             // Guards against sending on and on to a worker whose report, still old, shows room.
-            Outcome::Full => self.workers[i].drift[1] += FULL,
+            Outcome::Full => self.workers[i].drift += FULL,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => self.failed(now, i),
             _ => {}
         }
@@ -546,7 +550,8 @@
         if a.out {
             a.out = false;
             workers[a.worker].waiting -= f64::from(u8::from(!a.started));
-            workers[a.worker].drift[1] -= slots.max(1.0);
+            workers[a.worker].drift -= slots.max(1.0);
+            workers[a.worker].own -= slots.max(1.0);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,11 +16,13 @@
     pub asked: Option<JobId>,
     pub report: Report,
     pub read: Micros,
-    /// Slots that own attempts took, less those that they gave back, since the last report but one changed
-    /// and since the last did: what the report, late as it is, may not show yet.
-    pub drift: [f64; 2],
+    /// Slots that own attempts took, less those that they gave back, since the report last changed: what it
+    /// does not show yet.
+    pub drift: f64,
     /// Own attempts there that have not ended, nor started where starts are told.
     pub waiting: f64,
+    /// Slots that own attempts hold there, by what has been heard of them.
+    pub own: f64,
     /// How long its last probe took, as a multiple of the usual.
     pub slowness: f64,
     /// Failures since the last success, and until when they cost it its turns.
--- a/tests/cycle.rs
+++ b/tests/cycle.rs
@@ -127,6 +127,36 @@
     assert!(asked(&actions).is_some_and(|next| next != scheduled));
 }
 
+/// Two workers of two slots; the jobs so far are at the first, whose report then shows one slot free.
+fn after(jobs: usize, reports: &[f64]) -> Option<WorkerId> {
+    let mut world = World::new(probing(), &[member(1, 1.0), member(2, 1.0)]);
+    let mut job = |free: f64| {
+        world.now += 20 * MS;
+        let (_, actions) = world.job(0);
+        let asked = asked(&actions).unwrap();
+        let free = |worker| if worker == WorkerId(1) { free } else { 0.5 };
+        let actions = world.probed(asked, free(asked));
+        let next = WorkerId(3 - asked.0);
+        sent(&actions).or_else(|| sent(&world.probed(next, free(next))))
+    };
+    for _ in 0..jobs {
+        assert_eq!(job(2.0), Some(WorkerId(1)));
+    }
+    reports.iter().map(|&free| job(free)).last().unwrap()
+}
+
+/// A report shows what was true a while ago: it may not know of the slots that own jobs hold.
+#[test]
+fn own_jobs_hold_their_slots_whatever_an_old_report_says() {
+    assert_ne!(after(2, &[1.0, 1.1, 1.0]), Some(WorkerId(1)), "a job was sent to slots that are taken");
+}
+
+/// What was sent before a report changed is in it: counted twice, a free worker looks full.
+#[test]
+fn a_new_report_shows_what_was_sent_before_it() {
+    assert_eq!(after(1, &[1.0]), Some(WorkerId(1)));
+}
+
 #[test]
 fn a_worker_whose_probe_takes_long_is_past_k() {
     let (mut world, scheduled) = asked_first();
