Send safe jobs on that do not start by their aim; ask a broken probe again

Jobs on a connection that fell silent waited for their deadline. At fault: backends.rs `broke`, which told of every broken probe as one that failed; logic.rs had no end for an attempt of a safe job that never starts but its deadline.

Now a probe that breaks on a kept connection is asked again on a new one within its time. A safe job that has not started by its aim is called off and goes to another worker, once a worker, where starts are told.

Each test fails without its fix.

--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use super::Platform;
+use super::probes::PATIENCE;
 use crate::api::{Outcome, Report, WorkerId};
 use crate::core::SessionId;
 use crate::front::Sockets;
@@ -36,6 +37,8 @@
     server: WorkerId,
     work: Work,
     until: f64,
+    /// It has stood idle in the pool.
+    kept: bool,
 }
 
 /// A dispatch that has not ended: its connection until the job was taken, none after.
@@ -92,11 +95,17 @@
         while let Some(id) = self.backends.pool.take(server, now) {
             // Guards against a connection that the peer has closed: a request written there would be lost.
             if net.conn(id).is_some_and(|conn| conn.is_fresh()) {
-                self.backends.conns.insert(id, Backend { server, work, until: f64::INFINITY });
+                self.backends.conns.insert(id, Backend { server, work, until: f64::INFINITY, kept: true });
                 return Some(id);
             }
             self.close_backend(net, id);
         }
+        self.open_backend(net, server, work)
+    }
+
+    /// A new connection to a backend server.
+    pub(super) fn open_backend(&mut self, net: &mut Sockets, server: WorkerId, work: Work) -> Option<ConnId> {
+        let now = self.core.clock().now();
         if self.backends.conns.len() >= self.backends.most {
             let idle = self.backends.pool.oldest()?;
             self.close_backend(net, idle);
@@ -104,7 +113,7 @@
         let address: SocketAddr = self.core.table().get(server)?.line.address.parse().ok()?;
         let id = net.open(address).ok()?;
         let until = now + self.core.site().connect_timeout;
-        self.backends.conns.insert(id, Backend { server, work, until });
+        self.backends.conns.insert(id, Backend { server, work, until, kept: false });
         Some(id)
     }
 
@@ -222,13 +231,19 @@
     /// A connection broke. By what was written: a dispatch whose last byte was not never ran.
     fn broke(&mut self, net: &mut Sockets, id: ConnId, written: bool) {
         let Some(backend) = self.backends.conns.get(&id) else { return };
-        let (server, work) = (backend.server, backend.work);
+        let (server, work, kept) = (backend.server, backend.work, backend.kept);
         self.close_backend(net, id);
         match work {
             Work::Dispatch(flight) => {
                 let outcome = if written { Outcome::Reset } else { Outcome::Unreachable };
                 self.unserved(flight, outcome, Report::default());
             }
+            // Guards against a healthy server that is held to have failed: a connection that broke after it stood
+            // idle tells nothing of its server, and a probe does no harm twice.
+            Work::Probe { asked, .. } if kept && self.core.clock().now() < asked + PATIENCE => {
+                self.drop_idle(net, server);
+                self.probe_anew(net, server, asked);
+            }
             Work::Probe { asked, .. } => {
                 let latency = self.core.clock().now() - asked;
                 self.core.probed(server, false, latency, Report::default());
--- a/src/front/platform/probes.rs
+++ b/src/front/platform/probes.rs
@@ -5,6 +5,7 @@
 use crate::api::{Report, WorkerId};
 use crate::front::Sockets;
 use crate::json;
+use crate::net::ConnId;
 use crate::net::http::{self, Message};
 
 /// How long a probe may take, in milliseconds.
@@ -17,7 +18,20 @@
         let Some(conn) = self.acquire(net, server, Work::Probe { asked: now, up: now }) else {
             return self.core.probed(server, false, 0.0, Report::default());
         };
-        self.backends.until(conn, now + PATIENCE);
+        self.ask_load(net, server, conn, now);
+    }
+
+    /// Probes a backend server on a new connection, within what is left of a probe's time.
+    pub(super) fn probe_anew(&mut self, net: &mut Sockets, server: WorkerId, asked: f64) {
+        let now = self.core.clock().now();
+        match self.open_backend(net, server, Work::Probe { asked, up: now }) {
+            Some(conn) => self.ask_load(net, server, conn, asked),
+            None => self.core.probed(server, false, now - asked, Report::default()),
+        }
+    }
+
+    fn ask_load(&mut self, net: &mut Sockets, server: WorkerId, conn: ConnId, asked: f64) {
+        self.backends.until(conn, asked + PATIENCE);
         let host = [("Host", self.host(server))];
         net.write(conn, &http::ask("GET", "/metrics/load", &host, None));
         self.backend_ready(net, conn);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -152,6 +152,7 @@
             Wake::Step(id, walk) if self.jobs.get(&id).is_some_and(|p| p.walk == walk) => {
                 self.step(now, id, out)
             }
+            Wake::Unheard(id, attempt) => self.unheard(now, id, attempt, out),
             Wake::Due(id) if self.jobs.get(&id).is_some_and(|p| !p.streaming) => self.give_up(id, out),
             // Worth little now, and waiting.
             Wake::Stale(id) if self.jobs.get(&id).is_some_and(|p| p.waits) => self.give_up(id, out),
@@ -476,7 +477,8 @@
         let Some(p) = self.jobs.get(&id).filter(|_| open) else { return false };
         let w = &self.workers[i];
         let kind = self.cycles[p.cycle].kind;
-        if kind.is_some_and(|kind| kind != w.member.kind) {
+        let left = p.attempts.iter().any(|a| a.left && a.worker == i);
+        if left || kind.is_some_and(|kind| kind != w.member.kind) {
             return false;
         }
         let Some(first) = p.may_have_run() else { return true };
@@ -500,7 +502,19 @@
         let p = self.jobs.get_mut(&id).expect("it waits");
         p.waits = false;
         self.held.remove(&(p.came, id));
-        p.attempts.push(Attempt { worker: i, sent: now, out: true, free, started: false, never_ran: false });
+        let class = &self.settings.classes[p.job.class];
+        if self.settings.tells_start && self.settings.limits.cancel && class.repeat == Repeat::Safe {
+            self.wakes.push(Reverse((now + class.aim, Wake::Unheard(id, p.attempts.len()))));
+        }
+        p.attempts.push(Attempt {
+            worker: i,
+            sent: now,
+            out: true,
+            free,
+            started: false,
+            never_ran: false,
+            left: false,
+        });
         let w = &mut self.workers[i];
         w.waiting += 1.0;
         w.drift += p.job.slots.max(1.0);
@@ -545,6 +559,19 @@
         }
     }
 
+    /// An attempt that has not started by its aim waits behind others, or its connection or worker is silent.
+    /// Guards against a wait to the deadline: where that does no harm it is called off and the job goes on.
+    fn unheard(&mut self, now: Micros, id: JobId, attempt: usize, out: &mut Vec<Action>) {
+        let Some(p) = self.jobs.get_mut(&id) else { return };
+        let others = self.cycles[p.cycle].order.len() > 1;
+        let spent = p.attempts.len() >= self.settings.limits.attempts || !others;
+        let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.out && !a.started && !spent) else { return };
+        Self::give_back(&mut self.workers, a, p.job.slots);
+        (a.left, p.waits, p.steps, p.best) = (true, true, 0, None);
+        out.push(Action::Cancel { job: id, attempt });
+        self.step(now, id, out);
+    }
+
     /// An attempt is over, or nobody waits for it any more.
     fn give_back(workers: &mut [Worker], a: &mut Attempt, slots: f64) {
         if a.out {
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     pub free: bool,
     pub started: bool,
     pub never_ran: bool,
+    /// It was called off as it did not start: the job does not go back there.
+    pub left: bool,
 }
 
 #[derive(Default)]
@@ -92,6 +94,7 @@
 pub enum Wake {
     Subscribe,
     Step(JobId, u32),
+    Unheard(JobId, usize),
     Stale(JobId),
     Due(JobId),
 }
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -180,6 +180,12 @@
         Http::over(accept_any(&[listener]))
     }
 
+    /// The next connection, once this one is dropped.
+    pub fn accept_after(self, listener: &TcpListener) -> Http {
+        drop(self);
+        Http::accept(listener)
+    }
+
     pub fn over(stream: TcpStream) -> Http {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Http(BufReader::new(stream))
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -143,6 +143,38 @@
     assert_eq!(counter(address, "sent"), 3);
 }
 
+#[test]
+fn a_probe_on_a_kept_connection_that_breaks_is_asked_again_at_once() {
+    let ((worker, dial), text) = (listener(), "\"mayCancel\": true");
+    // A report is never too young to ask for another.
+    let settings = config(256, nobody(), &[("s-1", dial)])
+        .replace(text, &format!("{text}, \"probing\": true"))
+        .replace("\"quantum\": 1000", "\"quantum\": 1");
+    let mut program = Program::start(Some(&settings), None);
+    let address = program.address();
+    let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
+    let probe = |http: &mut Http| {
+        assert!(http.read().0.starts_with("GET /metrics/load "));
+        http.write("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=2");
+    };
+    client.submit("confirm-booking", "p1");
+    let mut kept = Http::accept(&worker);
+    for id in ["p1", "p2"] {
+        probe(&mut kept);
+        assert_eq!(value(&kept.read().0, "req-id").as_deref(), Some(id));
+        kept.take();
+        calls.call_back(id, "s-1", "done", "ok");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+        if id == "p1" {
+            // Its connection goes down under the next probe. The server is none the worse for that.
+            client.submit("confirm-booking", "p2");
+            assert!(kept.read().0.starts_with("GET /metrics/load "));
+            kept = kept.accept_after(&worker);
+        }
+    }
+    assert_eq!(counter(address, "probes"), 2);
+}
+
 #[test]
 fn nothing_free_is_denied_at_once_with_when_to_come_back() {
     let (_program, address) = platform(nobody(), &[]);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -173,6 +173,22 @@
     }
 }
 
+/// A connection or a worker may fall silent, or a queue be longer than its report said.
+#[test]
+fn a_safe_job_that_does_not_start_by_its_aim_goes_on_and_others_stay() {
+    for (class, starts, goes_on) in [(0, false, true), (0, true, false), (2, false, false)] {
+        let mut world = World::new(Settings { tells_start: true, ..settings() }, &fleet(3));
+        let (job, actions) = world.job(class);
+        let first = sent(&actions).unwrap();
+        if starts {
+            world.handle(Event::Started { job, attempt: 0 });
+        }
+        let actions = world.wait(250 * MS);
+        assert_eq!(actions.contains(&Action::Cancel { job, attempt: 0 }), goes_on, "{actions:?}");
+        assert_eq!(sent(&actions).is_some_and(|next| next != first), goes_on, "{actions:?}");
+    }
+}
+
 #[test]
 fn a_worker_that_errors_at_once_loses_its_turns() {
     let mut world = World::new(settings(), &fleet(4));
