Ask for the list again when a server fails; a watch waits 10 s

Ruled out: lists that do not read (no such line in the log). At fault: discovery.rs, WAIT and a Subscribe that did nothing while a call was out; the module had no way to doubt its list.

Now a failure of a worker has the list asked for within a twentieth of askWithin, once each half of it at most; a call that has been out for a second is then begun anew. 10 s of wait keeps calls below what discovery is sized for (all_call_s of the site is 5 to 8).

--- a/src/front/platform/discovery.rs
+++ b/src/front/platform/discovery.rs
@@ -12,16 +12,18 @@
 use crate::settings::Site;
 
 /// How long a call waits for news, in milliseconds.
-const WAIT: f64 = 20_000.0;
+const WAIT: f64 = 10_000.0;
 /// How much later its answer may come: discovery works through calls in turn.
 const GRACE: f64 = 2_500.0;
 /// Time between an answer and the next call of the watch: a watch breaks after 200 ms.
 const PAUSE: f64 = 40.0;
+/// A call that has been out for longer may have fallen silent, and is given up where another is asked for.
+const FRESH: f64 = 1_000.0;
 
 /// The state of the watch.
 enum Watch {
     Off,
-    Calling { until: f64 },
+    Calling { since: f64, until: f64 },
     Pausing { until: f64 },
 }
 
@@ -48,7 +50,7 @@
     pub fn next(&self) -> f64 {
         match self.watch {
             Watch::Off => f64::INFINITY,
-            Watch::Calling { until } | Watch::Pausing { until } => until,
+            Watch::Calling { until, .. } | Watch::Pausing { until } => until,
         }
     }
 }
@@ -83,14 +85,18 @@
 }
 
 impl Platform {
-    /// Calls discovery, unless a call is under way.
+    /// Calls discovery, unless a call was begun just now. One that has waited for a while is begun anew, on a new
+    /// connection: the old one may have fallen silent.
     pub(super) fn call_discovery(&mut self, net: &mut Sockets) {
-        if matches!(self.discovery.watch, Watch::Calling { .. }) {
-            return;
+        let now = self.core.clock().now();
+        if let Watch::Calling { since, .. } = self.discovery.watch {
+            if now < since + FRESH {
+                return;
+            }
+            self.hang_up(net);
         }
         let wait = self.discovery.seq.map_or(0.0, |_| WAIT);
-        let until = self.core.clock().now() + wait + GRACE;
-        self.discovery.watch = Watch::Calling { until };
+        self.discovery.watch = Watch::Calling { since: now, until: now + wait + GRACE };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
         let conn = match self.discovery.conn.filter(fresh) {
             Some(conn) => Ok(conn),
@@ -179,7 +185,7 @@
     pub(super) fn tick_discovery(&mut self, net: &mut Sockets) {
         let now = self.core.clock().now();
         match self.discovery.watch {
-            Watch::Calling { until } if until <= now => self.discovery_failed(net),
+            Watch::Calling { until, .. } if until <= now => self.discovery_failed(net),
             Watch::Pausing { until } if until <= now => self.call_discovery(net),
             _ => {}
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,6 +58,8 @@
     /// Jobs held here as all workers met were too far past k, by the time they came.
     held: BTreeSet<(Micros, JobId)>,
     call_failures: u32,
+    /// When the list may be asked for again as it seems to be old.
+    doubt: Micros,
 }
 
 impl Dispatcher {
@@ -84,6 +86,7 @@
             kinds: Vec::new(),
             held: BTreeSet::new(),
             call_failures: 0,
+            doubt: 0,
         }
     }
 
@@ -470,6 +473,11 @@
         w.failures += 1;
         let rest = self.run * f64::from(1u32 << w.failures.min(4)) * (0.5 + self.rng.f64());
         w.rest = now + rest as Micros;
+        // Guards against a watch that has fallen silent: a worker that fails may have left the list.
+        if self.settings.must_subscribe && self.doubt <= now {
+            self.doubt = now + self.settings.rules.ask_within / 2;
+            self.call(now, self.settings.rules.ask_within / 20);
+        }
     }
 
     fn may_send(&mut self, now: Micros, id: JobId, i: usize) -> bool {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -250,6 +250,34 @@
     assert!(one.accept().is_err(), "a draining server was sent a job");
 }
 
+#[test]
+fn a_watch_that_fell_silent_is_begun_anew_once_a_server_fails() {
+    let ((discovery, at), (worker, dial)) = (listener(), listener());
+    let (_program, address) = platform(at, &[("s-1", nobody()), ("s-2", dial)]);
+    let mut watch = Http::accept(&discovery);
+    assert!(watch.read().0.contains("since=7&"));
+    let (mut calls, mut jobs) = (Http::connect(address), 0);
+    discovery.set_nonblocking(true).unwrap();
+    let end = std::time::Instant::now() + PATIENCE;
+    let again = loop {
+        if let Ok((stream, _)) = discovery.accept() {
+            break stream;
+        }
+        assert!(std::time::Instant::now() < end, "it waits for the silent watch");
+        let (mut client, id) = (Http::connect(address), format!("w{jobs}"));
+        jobs += 1;
+        client.submit("confirm-booking", &id);
+        let mut job = Http::accept(&worker);
+        job.read();
+        job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        calls.call_back(&id, "s-2", "done", "ok");
+        client.read();
+    };
+    again.set_nonblocking(false).unwrap();
+    assert!(Http::over(again).read().0.contains("since=7&"));
+    assert_eq!(watch.read().0, "", "the silent one is given up");
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken_and_says_that_it_closes() {
     let (worker, dial) = listener();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -189,6 +189,26 @@
     }
 }
 
+/// A watch can fall silent; that a worker fails may be all that shows it.
+#[test]
+fn a_worker_that_fails_has_the_list_asked_for_again_but_not_all_the_time() {
+    let mut world = World::new(Settings { must_subscribe: true, ..settings() }, &fleet(4));
+    let mut asked = Vec::new();
+    for _ in 0..120 {
+        let mut actions = world.wait(50 * MS);
+        let (job, sends) = world.job(0);
+        if let Some(worker) = sent(&sends) {
+            actions.extend(world.ended(job, 0, worker, Outcome::Unreachable));
+        }
+        actions.extend(world.wait(50 * MS));
+        if actions.contains(&Action::Subscribe) {
+            asked.push(world.now - 100 * SECOND);
+        }
+    }
+    // Twelve seconds in which all fail, of a time of ten within which it must be asked.
+    assert!((2..=3).contains(&asked.len()) && asked[0] < SECOND, "{asked:?}");
+}
+
 #[test]
 fn a_worker_that_errors_at_once_loses_its_turns() {
     let mut world = World::new(settings(), &fleet(4));
