Bound what clients take to send; keep usual clients' places; fail unfit requests once

Also found while rereading clients.rs: a connection that says nothing, or half of a request, was never ended by itself, and at the bound the longest idle one went, which may be a usual client's. Ruled out: requests that were passed on with what cannot be read (no server closed on one). At fault: backends.rs `answered`, which told of a 4xx as the server's error; clients.rs `idlest` and no time limit.

Now a 4xx of a server fails the request at once and harms no server's turns; a whole request must come within 2.5 s of connecting or of its first byte (408 or a close); an answer that nobody reads is bounded alike; connections from which nothing was taken go first. Gearman's peers have 5 s for a first or begun packet.

Each story fails without its fix by construction: an ended or kept connection, one dispatch sent.

--- a/src/api.rs
+++ b/src/api.rs
@@ -169,6 +169,8 @@
     Error,
     /// Turned away unseen; it never ran.
     Full,
+    /// The worker cannot use the job itself: another would not either.
+    Unfit,
     /// No answer in time; it may have run or be running.
     TimedOut,
     /// No connection; it never ran.
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -32,7 +32,7 @@
 const JOBS: usize = 16;
 /// Packets read from a connection before others have their turn.
 const TURNS: usize = 64;
-/// How long a peer may take to prove who it is, in milliseconds.
+/// How long a peer may take to prove who it is and to send a whole packet, in milliseconds.
 const INTRODUCTION: f64 = 5000.0;
 
 /// A dispatch: its session and its number.
@@ -49,7 +49,8 @@
     worker: Option<Worker>,
     /// It has proved who it is, where that is asked for.
     known: bool,
-    since: f64,
+    /// A whole packet is to come by then, if one is due: the first, or the rest of one that has begun.
+    sends: Option<f64>,
     ends: Option<f64>,
 }
 
@@ -160,7 +161,7 @@
                 waits: Vec::new(),
                 worker: None,
                 known,
-                since,
+                sends: Some(since + INTRODUCTION),
                 ends: None,
             };
             self.peers.insert(id, peer);
@@ -216,7 +217,16 @@
                 }
             }
             let ended = conn.eof;
-            match take(&mut conn.rx) {
+            let (read, begun) = (take(&mut conn.rx), !conn.rx.is_empty());
+            // Guards against peers that connect and say nothing, or send half a packet, and take others' places.
+            match &read {
+                Ok(None) if begun && peer.sends.is_none() => {
+                    peer.sends = Some(self.core.clock().now() + INTRODUCTION);
+                }
+                Ok(None) => {}
+                _ => peer.sends = None,
+            }
+            match read {
                 Ok(None) if ended => return self.leave(net, id),
                 Ok(None) => return,
                 Ok(Some(Incoming::Line(line))) => self.admin(net, id, &line),
@@ -318,7 +328,7 @@
         self.carry_out(net);
         self.expire_workers(now);
         self.carry_out(net);
-        let over = |p: &Peer| p.ends.is_some_and(|at| at <= now) || !p.known && p.since + INTRODUCTION <= now;
+        let over = |p: &Peer| [p.ends, p.sends].into_iter().flatten().any(|at| at <= now);
         let over = self.peers.iter().filter(|(_, p)| over(p)).map(|(&id, _)| id);
         for id in over.collect::<Vec<_>>() {
             self.leave(net, id);
@@ -336,10 +346,7 @@
             return now;
         }
         let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
-        let peers = self.peers.values().filter_map(|p| {
-            let introduction = (!p.known).then_some(p.since + INTRODUCTION);
-            p.ends.or(introduction)
-        });
+        let peers = self.peers.values().flat_map(|p| [p.ends, p.sends]).flatten();
         let stop = self.stopping.map_or(f64::INFINITY, |leaving| leaving.last_call.max(now + 20.0));
         let workers = self.peers.values().filter_map(|p| p.worker.as_ref()).map(Worker::next);
         peers.chain(workers).fold(wake.min(stop), f64::min)
--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -221,6 +221,8 @@
                         }
                     }
                     503 | 504 if declined => self.unserved(flight, Outcome::Full, report),
+                    // What is wrong with the request is not its server's failure.
+                    400..500 => self.unserved(flight, Outcome::Unfit, report),
                     _ => self.unserved(flight, Outcome::Error, report),
                 }
             }
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -10,6 +10,10 @@
 use crate::net::ConnId;
 use crate::net::http::{self, Bad, Message};
 
+/// How long a client may take to send a whole request, from its connecting or its first byte, in milliseconds.
+const SENDS: f64 = 2500.0;
+/// Time between two looks at what clients take too long for, in milliseconds.
+const LOOK: f64 = 100.0;
 /// How long the end of a connection waits for the peer to end its side, in milliseconds.
 const LINGER: f64 = 1000.0;
 /// Bytes of a refused request that are read at once, lest they keep its client from its answer.
@@ -32,6 +36,10 @@
     calls_back: bool,
     /// Its last answer is written; it ends by then.
     ends: Option<f64>,
+    /// A whole request is to come by then, if one is due.
+    sends: Option<f64>,
+    /// A request of it was taken, or a call-back of it read.
+    usual: bool,
 }
 
 /// All of them.
@@ -39,7 +47,8 @@
     pub listener: usize,
     pub most: usize,
     conns: FxHashMap<ConnId, Client>,
-    ending: usize,
+    /// When to look next whether a client takes too long.
+    look: f64,
     /// Connections that were answered and not looked at since.
     pub answered: Vec<ConnId>,
     /// Connections that had their turns and may hold more.
@@ -49,22 +58,19 @@
 impl Clients {
     pub fn new(listener: usize, most: usize) -> Clients {
         let conns = FxHashMap::default();
-        Clients { listener, most, conns, ending: 0, answered: Vec::new(), later: Vec::new() }
+        Clients { listener, most, conns, look: f64::INFINITY, answered: Vec::new(), later: Vec::new() }
     }
 
     pub fn owns(&self, conn: ConnId) -> bool {
         self.conns.contains_key(&conn)
     }
 
-    /// When the next ending connection has waited long enough.
+    /// When to look again.
     pub fn next(&self) -> f64 {
         if !self.later.is_empty() {
             return 0.0;
         }
-        if self.ending == 0 {
-            return f64::INFINITY;
-        }
-        self.conns.values().filter_map(|c| c.ends).fold(f64::INFINITY, f64::min)
+        self.look
     }
 
     /// Whether every answer is written.
@@ -72,10 +78,12 @@
         self.conns.keys().all(|&id| net.conn(id).is_none_or(|conn| conn.tx.is_empty() || conn.broken))
     }
 
-    /// The connection that has had nothing to do for longest.
+    /// The connection that has had nothing to do for longest. Guards against usual clients who lose their places
+    /// to many that connect and send nothing, or nothing that is taken: those go first.
     fn idlest(&self) -> Option<ConnId> {
         let idle = self.conns.iter().filter(|(_, c)| c.session.is_none());
-        idle.min_by(|a, b| a.1.idle.total_cmp(&b.1.idle)).map(|(&id, _)| id)
+        let order = |a: &Client, b: &Client| a.usual.cmp(&b.usual).then(a.idle.total_cmp(&b.idle));
+        idle.min_by(|a, b| order(a.1, b.1)).map(|(&id, _)| id)
     }
 }
 
@@ -105,7 +113,10 @@
             }
             let Some(id) = net.accept(self.clients.listener) else { return };
             let idle = self.core.clock().now();
-            self.clients.conns.insert(id, Client { session: None, idle, calls_back: false, ends: None });
+            let sends = Some(idle + SENDS);
+            let client = Client { session: None, idle, calls_back: false, ends: None, sends, usual: false };
+            self.clients.conns.insert(id, client);
+            self.clients.look = self.clients.look.min(idle + LOOK);
         }
     }
 
@@ -143,7 +154,17 @@
             if turns > TURNS {
                 return self.clients.later.push(id);
             }
-            match http::request(&mut conn.rx) {
+            let (read, begun) = (http::request(&mut conn.rx), !conn.rx.is_empty());
+            if let Some(client) = self.clients.conns.get_mut(&id) {
+                let now = self.core.clock().now();
+                match &read {
+                    Ok(None) if begun && client.sends.is_none() => client.sends = Some(now + SENDS),
+                    Ok(None) => {}
+                    _ => client.sends = None,
+                }
+                self.clients.look = self.clients.look.min(now + LOOK);
+            }
+            match read {
                 Ok(None) => return,
                 Ok(Some(message)) => self.request(net, id, message),
                 Err(bad) => {
@@ -163,7 +184,7 @@
         let now = self.core.clock().now();
         let Some(client) = self.clients.conns.get_mut(&id).filter(|c| c.ends.is_none()) else { return };
         client.ends = Some(now + LINGER);
-        self.clients.ending += 1;
+        self.clients.look = self.clients.look.min(now + LOOK);
         if let Some(conn) = net.conn(id) {
             conn.end_writing();
         }
@@ -172,22 +193,30 @@
     fn drop_client(&mut self, net: &mut Sockets, id: ConnId) {
         net.close(id);
         let Some(client) = self.clients.conns.remove(&id) else { return };
-        self.clients.ending -= usize::from(client.ends.is_some());
         if let Some(session) = client.session {
             self.forget(session);
             self.core.client_left(session);
         }
     }
 
-    /// Ends connections whose peers do not end them.
+    /// Ends connections whose peers do not end them, or do not send a whole request in good time.
     pub(super) fn sweep_clients(&mut self, net: &mut Sockets, now: f64) {
-        if self.clients.next() <= now {
-            let due = |c: &Client| c.ends.is_some_and(|at| at <= now);
-            let over = self.clients.conns.iter().filter(|(_, c)| due(c)).map(|(&id, _)| id);
-            for id in over.collect::<Vec<_>>() {
+        if self.clients.look > now {
+            return;
+        }
+        let due = |at: Option<f64>| at.is_some_and(|at| at <= now);
+        let over = self.clients.conns.iter().filter(|(_, c)| due(c.ends) || due(c.sends));
+        let over: Vec<(ConnId, bool)> = over.map(|(&id, c)| (id, !due(c.ends))).collect();
+        for (id, late) in over {
+            if late && net.conn(id).is_some_and(|conn| !conn.closing && !conn.rx.is_empty()) {
+                self.reply(net, id, 408, &[], b"", true);
+                self.client_ready(net, id);
+            } else {
                 self.drop_client(net, id);
             }
         }
+        let waits = self.clients.conns.values().any(|c| c.ends.is_some() || c.sends.is_some());
+        self.clients.look = if waits { now + LOOK } else { f64::INFINITY };
     }
 
     /// Closes what clients hold without a request, so that they go elsewhere. Guards against closing a new
@@ -217,7 +246,7 @@
             }
             ("POST", "/v1/job-events") => {
                 if let Some(client) = self.clients.conns.get_mut(&id) {
-                    client.calls_back = true;
+                    (client.calls_back, client.usual) = (true, true);
                 }
                 let status = if self.call_back(&message.body) { 204 } else { 400 };
                 self.reply(net, id, status, &[], b"", close);
@@ -262,7 +291,7 @@
                     conn.last = true;
                 }
                 if let Some(client) = self.clients.conns.get_mut(&id) {
-                    client.session = Some(session);
+                    (client.session, client.usual) = (Some(session), true);
                 }
             }
         }
@@ -313,6 +342,12 @@
         }
         if let Some(conn) = net.conn(id).filter(|_| close) {
             conn.closing = true;
+            // It is to take its answer in good time as well.
+            let now = self.core.clock().now();
+            if let Some(client) = self.clients.conns.get_mut(&id) {
+                client.sends = Some(now + SENDS);
+            }
+            self.clients.look = self.clients.look.min(now + LOOK);
         }
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -552,6 +552,11 @@
                 self.end(e.job, out);
             } else if !p.waits && !p.attempts.iter().any(|a| a.out) {
                 let is_unsafe = self.settings.classes[p.job.class].repeat == Repeat::Unsafe;
+                // Guards against one bad job that is sent to worker after worker.
+                if e.outcome == Outcome::Unfit {
+                    out.push(Action::Fail { job: e.job });
+                    return self.end(e.job, out);
+                }
                 let unsafe_now = is_unsafe && p.may_have_run().is_some();
                 let spent = p.attempts.len() >= self.settings.limits.attempts;
                 if unsafe_now || spent || now + self.settings.quantum >= p.job.due {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -143,6 +143,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         500 => "Internal Server Error",
         501 => "Not Implemented",
--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -72,6 +72,19 @@
     assert_eq!(client.expect(kind::WORK_COMPLETE), [handle.as_str(), "booked"]);
 }
 
+#[test]
+fn a_peer_that_sends_nothing_or_half_a_packet_is_ended() {
+    let (_program, address) = gearman("");
+    let (mut silent, mut half, mut kept) =
+        (Gear::connect(address), Gear::connect(address), Gear::connect(address));
+    half.0.write_all(b"\0REQ\0\0").unwrap();
+    kept.send(kind::ECHO_REQ, &["here"]);
+    kept.expect(kind::ECHO_RES);
+    assert!(silent.read().is_none() && half.read().is_none());
+    kept.send(kind::ECHO_REQ, &["still here"]);
+    kept.expect(kind::ECHO_RES);
+}
+
 #[test]
 fn what_could_not_be_answered_gets_an_error_and_the_connection_goes_on() {
     let (_program, address) = gearman("");
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -404,6 +404,58 @@
     drop(worker);
 }
 
+#[test]
+fn who_says_nothing_or_half_of_it_is_ended_within_three_seconds() {
+    let (_program, address) = platform(nobody(), &[]);
+    let began = std::time::Instant::now();
+    let (mut silent, mut half, mut body) =
+        (Http::connect(address), Http::connect(address), Http::connect(address));
+    half.write("POST /avail-search HTTP/1.1\r\nReq-");
+    body.write("POST /avail-search HTTP/1.1\r\nReq-Id: l1\r\nContent-Length: 9\r\n\r\nhalf");
+    let mut kept = Http::connect(address);
+    kept.write("GET /up HTTP/1.1\r\n\r\n");
+    assert!(kept.read().0.starts_with("HTTP/1.1 200"));
+    assert!(half.read().0.starts_with("HTTP/1.1 408") && body.read().0.starts_with("HTTP/1.1 408"));
+    assert_eq!(silent.read().0, "");
+    assert!(began.elapsed().as_secs_f64() < 3.0, "{:?}", began.elapsed());
+    // One that has asked before may rest.
+    kept.write("GET /up HTTP/1.1\r\n\r\n");
+    assert!(kept.read().0.starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn a_usual_client_keeps_its_place_among_many_that_say_nothing() {
+    let (worker, dial) = listener();
+    // 70 descriptors leave 17 connections for clients.
+    let (_program, address) = platform_with(70, nobody(), &[("s-1", dial)]);
+    let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
+    for id in ["m1", "m2"] {
+        client.submit("confirm-booking", id);
+        let mut job = Http::accept(&worker);
+        job.read();
+        job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        calls.call_back(id, "s-1", "done", "ok");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"), "its connection was closed");
+        let crowd: Vec<Http> = (0..40).map(|_| Http::connect(address)).collect();
+        // Once this is answered all of them were accepted.
+        assert!(counter(address, "taken") > 0);
+        drop(crowd);
+    }
+}
+
+#[test]
+fn a_request_that_a_server_cannot_use_fails_and_is_sent_to_no_other() {
+    let ((one, dial), (two, other)) = (listener(), listener());
+    let (_program, address) = platform(nobody(), &[("s-1", dial), ("s-2", other)]);
+    let mut client = Http::connect(address);
+    client.submit("avail-search", "o1");
+    let mut job = Http::over(accept_any(&[&one, &two]));
+    job.read();
+    job.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    assert!(client.read().0.starts_with("HTTP/1.1 500"));
+    assert_eq!(counter(address, "sent"), 1);
+}
+
 #[test]
 fn a_client_that_goes_on_sending_is_told_that_it_is_too_much() {
     let (_program, address) = platform(nobody(), &[]);
