Bound what clients send by the memory limit; log lines cannot end the program

Also eprintln ends the program where its log is closed.

A quarter of memory_mb is for what clients send; beyond it those that hold more than their even part are denied with 503, so that small requests and call-backs always fit. Checked at both ends: 256 and 1,024 descriptors, 32 and 192 MB.

--- a/src/front/gearman/identity.rs
+++ b/src/front/gearman/identity.rs
@@ -117,9 +117,9 @@
         match config(&self.files) {
             Ok(config) => {
                 self.config = config;
-                eprintln!("micabeam: the identity files were read again");
+                crate::say("the identity files were read again");
             }
-            Err(e) => eprintln!("micabeam: the old identity stays in force: {e}"),
+            Err(e) => crate::say(format_args!("the old identity stays in force: {e}")),
         }
     }
 
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -210,7 +210,7 @@
                     Some(Ok(role)) => (peer.role, peer.known) = (role, true),
                     refused => {
                         if let Some(Err(e)) = refused {
-                            eprintln!("micabeam: a peer was refused: {e}");
+                            crate::say(format_args!("a peer was refused: {e}"));
                         }
                         return self.leave(net, id);
                     }
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -7,8 +7,8 @@
 use super::{Job, Platform};
 use crate::core::{Request, SessionId, Verdict};
 use crate::front::Sockets;
-use crate::net::ConnId;
 use crate::net::http::{self, Bad, Message};
+use crate::net::{Budget, ConnId};
 
 /// How long a client may take to send a whole request, from its connecting or its first byte, in milliseconds.
 const SENDS: f64 = 2500.0;
@@ -40,12 +40,16 @@
     sends: Option<f64>,
     /// A request of it was taken, or a call-back of it read.
     usual: bool,
+    /// Bytes held for it: of a request that is not whole, or of its session.
+    held: usize,
 }
 
 /// All of them.
 pub(super) struct Clients {
     pub listener: usize,
-    pub most: usize,
+    pub budget: Budget,
+    /// Bytes held for all of them.
+    held: usize,
     conns: FxHashMap<ConnId, Client>,
     /// When to look next whether a client takes too long.
     look: f64,
@@ -56,9 +60,10 @@
 }
 
 impl Clients {
-    pub fn new(listener: usize, most: usize) -> Clients {
+    pub fn new(listener: usize, budget: Budget) -> Clients {
         let conns = FxHashMap::default();
-        Clients { listener, most, conns, look: f64::INFINITY, answered: Vec::new(), later: Vec::new() }
+        let (answered, later) = (Vec::new(), Vec::new());
+        Clients { listener, budget, held: 0, conns, look: f64::INFINITY, answered, later }
     }
 
     pub fn owns(&self, conn: ConnId) -> bool {
@@ -78,6 +83,16 @@
         self.conns.keys().all(|&id| net.conn(id).is_none_or(|conn| conn.tx.is_empty() || conn.broken))
     }
 
+    /// Notes what is held for one, and tells whether it fits. Guards against memory that many half-sent bodies
+    /// take together, each within its bound. What is small always fits, call-backs above all.
+    fn hold(&mut self, id: ConnId, bytes: usize) -> bool {
+        if let Some(client) = self.conns.get_mut(&id) {
+            self.held = self.held - client.held + bytes;
+            client.held = bytes;
+        }
+        self.held <= self.budget.bytes || bytes <= self.budget.bytes / self.budget.clients
+    }
+
     /// The connection that has had nothing to do for longest. Guards against usual clients who lose their places
     /// to many that connect and send nothing, or nothing that is taken: those go first.
     fn idlest(&self) -> Option<ConnId> {
@@ -103,7 +118,7 @@
     /// counts as taken, so that nothing may be left in it.
     pub fn accept(&mut self, net: &mut Sockets) {
         for _ in 0..64 {
-            while self.clients.conns.len() >= self.clients.most {
+            while self.clients.conns.len() >= self.clients.budget.clients {
                 let Some(idle) = self.clients.idlest() else { return };
                 // A request that has come by now is taken or denied first.
                 self.client_ready(net, idle);
@@ -114,7 +129,8 @@
             let Some(id) = net.accept(self.clients.listener) else { return };
             let idle = self.core.clock().now();
             let sends = Some(idle + SENDS);
-            let client = Client { session: None, idle, calls_back: false, ends: None, sends, usual: false };
+            let client =
+                Client { session: None, idle, calls_back: false, ends: None, sends, usual: false, held: 0 };
             self.clients.conns.insert(id, client);
             self.clients.look = self.clients.look.min(idle + LOOK);
         }
@@ -129,6 +145,7 @@
             if closing {
                 let unread = conn.rx.len();
                 conn.rx.consume(unread);
+                self.clients.hold(id, 0);
                 drained += unread;
                 // Guards against a client that is still sending what was refused: unread, it would never be
                 // told of it; read without a bound, it would keep the loop.
@@ -146,8 +163,15 @@
             if gone {
                 return self.drop_client(net, id);
             }
-            if self.clients.conns.get(&id).is_none_or(|c| c.session.is_some()) {
-                return;
+            let unread = conn.rx.len();
+            match self.clients.conns.get(&id) {
+                Some(client) if client.session.is_none() => {}
+                Some(client) => {
+                    let held = client.held.max(unread);
+                    self.clients.hold(id, held);
+                    return;
+                }
+                None => return,
             }
             // Guards against one client that sends without end and keeps all others waiting.
             turns += 1;
@@ -164,6 +188,12 @@
                 }
                 self.clients.look = self.clients.look.min(now + LOOK);
             }
+            let unread = net.conn(id).map_or(0, |conn| conn.rx.len());
+            let whole = read.as_ref().map_or(0, |m| m.as_ref().map_or(0, |m| m.body.len()));
+            if !self.clients.hold(id, unread + whole) {
+                self.reply(net, id, 503, &[], b"", true);
+                continue;
+            }
             match read {
                 Ok(None) => return,
                 Ok(Some(message)) => self.request(net, id, message),
@@ -192,6 +222,7 @@
 
     fn drop_client(&mut self, net: &mut Sockets, id: ConnId) {
         net.close(id);
+        self.clients.hold(id, 0);
         let Some(client) = self.clients.conns.remove(&id) else { return };
         if let Some(session) = client.session {
             self.forget(session);
--- a/src/front/platform/config.rs
+++ b/src/front/platform/config.rs
@@ -10,6 +10,8 @@
 
 /// Descriptors counted on where the configuration names no limit.
 const SOCKETS: f64 = 1024.0;
+/// Memory counted on where it names none, in megabytes.
+const MEMORY: f64 = 32.0;
 
 /// All that the file says.
 #[derive(Clone, Debug)]
@@ -36,7 +38,8 @@
         let seed =
             u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hexadecimal number: {seed}"))?;
         let sockets = field(config, "limits").and_then(|l| number(l, "sockets")).unwrap_or(SOCKETS);
-        let budget = Budget::of((sockets as usize).saturating_sub(taken))
+        let memory = field(config, "limits").and_then(|l| number(l, "memory_mb")).unwrap_or(MEMORY);
+        let budget = Budget::of((sockets as usize).saturating_sub(taken), memory)
             .ok_or_else(|| format!("{sockets} sockets are too few"))?;
         let known = match field(config, "known") {
             Some(list) => read_list(list, &site).map(|(seq, lines, _)| (seq, lines))?,
--- a/src/front/platform/discovery.rs
+++ b/src/front/platform/discovery.rs
@@ -133,7 +133,7 @@
                 match list {
                     Ok((seq, lines, whole)) => self.news(net, seq, lines, whole),
                     Err(e) => {
-                        eprintln!("micabeam: discovery's answer does not read: {e}");
+                        crate::say(format_args!("discovery's answer does not read: {e}"));
                         self.discovery_failed(net);
                     }
                 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -47,7 +47,7 @@
     pub fn new(config: Config, clock: Clock, listener: usize, discovery: SocketAddr) -> Platform {
         let Config { site, seed, budget, known, .. } = config;
         let mut front = Platform {
-            clients: Clients::new(listener, budget.clients),
+            clients: Clients::new(listener, budget),
             backends: Backends::new(site.conn_idle, budget.backends),
             discovery: Discovery::new(discovery, config.discovery, known.0),
             core: Core::new(site, seed, clock, budget.sessions),
@@ -66,7 +66,7 @@
 
     /// Takes over a configuration that fits: its settings and limits, and the discovery service that it names.
     pub fn reload(&mut self, net: &mut Sockets, config: Config) {
-        self.clients.most = config.budget.clients;
+        self.clients.budget = config.budget;
         self.backends.adopt(config.site.conn_idle, config.budget.backends);
         self.core.adopt(config.site, config.budget.sessions);
         self.follow(net, config.discovery);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+/// Writes a line to the log. Guards against an end by a log that nobody takes any more, which `eprintln` is.
+pub fn say(line: impl std::fmt::Display) {
+    use std::io::Write;
+    let _ = writeln!(std::io::stderr(), "micabeam: {line}");
+}
+
 pub mod api;
 pub mod core;
 pub mod front;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The dispatcher: reads its configuration, opens its sockets and runs the loop.
 #![forbid(unsafe_code)]
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use micabeam::front::platform::{self, Platform};
 use micabeam::front::{Files, Gateway};
 use micabeam::net::Net;
+use micabeam::say;
 
 /// Longest time between two rounds of the loop.
 const ROUND: f64 = 1000.0;
@@ -20,7 +22,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("micabeam: {}", message.replace('\n', " "));
+            say(message.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
@@ -33,14 +35,14 @@
         .map_err(|e| format!("signals: {e}"))?;
     handle
         .insert_source(signals, |event, (), gateway: &mut Gateway| match event.signal() {
-            Signal::SIGUSR1 => eprint!("{}", gateway.counters()),
+            Signal::SIGUSR1 => tell(gateway),
             Signal::SIGHUP => match gateway.reload() {
-                Ok(()) => eprintln!("micabeam: the configuration was read again"),
-                Err(e) => eprintln!("micabeam: the old settings stay in force: {}", e.replace('\n', " ")),
+                Ok(()) => say("the configuration was read again"),
+                Err(e) => say(format_args!("the old settings stay in force: {}", e.replace('\n', " "))),
             },
             _ => {
                 gateway.stop();
-                eprintln!("micabeam: stopping");
+                say("stopping");
             }
         })
         .map_err(|e| e.to_string())?;
@@ -62,10 +64,15 @@
         events.dispatch(Some(wait), &mut gateway).map_err(|e| format!("the loop: {e}"))?;
         gateway.tick();
     }
-    eprint!("{}", gateway.counters());
+    tell(&gateway);
     Ok(())
 }
 
+/// Writes the counters to the log.
+fn tell(gateway: &Gateway) {
+    let _ = write!(std::io::stderr(), "{}", gateway.counters());
+}
+
 /// The operator's file of the Gearman front, as the command line names it.
 fn gearman_file() -> Result<Option<String>, String> {
     let mut arguments = std::env::args().skip(1);
@@ -79,7 +86,7 @@
 fn open_gearman(config: gearman::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Gearman, String> {
     let listen = config.listen;
     let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
-    println!("micabeam: gearman at {local}");
+    let _ = writeln!(std::io::stdout(), "micabeam: gearman at {local}");
     // Alone in its list, it need not differ from others in what it draws.
     Gearman::new(config, clock.now() as u64, clock.clone(), listener)
 }
@@ -100,6 +107,6 @@
     let discovery = address("LB_DISCOVERY", "discovery", config.discovery)?;
     let listen = address("LB_LISTEN", "listen", config.listen)?;
     let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
-    println!("micabeam: listening at {local}");
+    let _ = writeln!(std::io::stdout(), "micabeam: listening at {local}");
     Ok(Platform::new(config, clock.clone(), listener, discovery))
 }
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,4 +1,5 @@
-//! The descriptor budget: how many connections of each sort the limit on open files leaves.
+//! The budget: how many connections of each sort the limit on open files leaves, and how many bytes of clients
+//! the memory limit.
 
 /// Descriptors for the loop, signals, standard streams, listeners, discovery and what is being accepted.
 const RESERVED: usize = 48;
@@ -18,14 +19,36 @@
     /// Sessions at most: fewer than clients, so that there is always a connection without one that can make
     /// room for the next.
     pub sessions: usize,
+    /// Bytes held for clients: what they have sent of requests, and the bodies of sessions.
+    pub bytes: usize,
 }
 
 impl Budget {
     /// Shares out a limit on descriptors: a quarter to backend servers, since those hold a connection only
     /// until they have taken a job, clients until it is done.
-    pub fn of(sockets: usize) -> Option<Budget> {
+    ///
+    /// A quarter of the memory is for what clients send. Buffers double as they grow, bodies are copied once when
+    /// they are passed on, and the rest is for answers, for the program itself and for the server table.
+    pub fn of(sockets: usize, memory_mb: f64) -> Option<Budget> {
         let left = sockets.min(MOST).checked_sub(RESERVED).filter(|&left| left >= 16)?;
         let clients = left - left / 4;
-        Some(Budget { clients, backends: left / 4, sessions: clients - (clients / 2).min(SPARE) })
+        let bytes = (memory_mb.max(1.0) * f64::from(1 << 20) / 4.0) as usize;
+        Some(Budget { clients, backends: left / 4, sessions: clients - (clients / 2).min(SPARE), bytes })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Both ends of what the platform sets: clients may hold a third of the descriptors for requests.
+    #[test]
+    fn a_third_of_the_descriptors_can_hold_requests() {
+        for (sockets, memory) in [(256, 32.0), (1024, 32.0), (256, 192.0), (1024, 192.0)] {
+            let budget = Budget::of(sockets, memory).unwrap();
+            assert!(budget.sessions >= sockets / 3, "{budget:?}");
+            assert!(budget.clients + budget.backends + RESERVED <= sockets, "{budget:?}");
+            assert!(budget.bytes <= (memory as usize) << 18, "{budget:?}");
+        }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -67,7 +67,7 @@
             match self.listeners[listener].accept() {
                 Ok((stream, _)) => match Conn::accepted(stream).and_then(|conn| self.add(conn)) {
                     Ok(id) => return Some(id),
-                    Err(e) => eprintln!("micabeam: an accepted connection was dropped: {e}"),
+                    Err(e) => crate::say(format_args!("an accepted connection was dropped: {e}")),
                 },
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(_) => return None,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -423,6 +423,23 @@
     assert!(kept.read().0.starts_with("HTTP/1.1 200"));
 }
 
+#[test]
+fn half_sent_bodies_do_not_take_the_memory_and_small_requests_still_fit() {
+    let config = config(256, nobody(), &[]).replace("\"sockets\": 256", "\"sockets\": 256, \"memory_mb\": 4");
+    let mut program = Program::start(Some(&config), None);
+    let address = program.address();
+    // A megabyte is for clients, and each of them sends the most of a body that is let in.
+    let half = format!("POST /no HTTP/1.1\r\nContent-Length: 65536\r\n\r\n{}", "x".repeat(60_000));
+    let mut clients: Vec<Http> = (0..30).map(|_| Http::connect(address)).collect();
+    clients.iter_mut().for_each(|client| client.write(&half));
+    let mut small = Http::connect(address);
+    small.write("POST /no HTTP/1.1\r\n\r\n");
+    assert!(small.read().0.starts_with("HTTP/1.1 404"));
+    let heads = clients.iter_mut().map(|client| client.read().0);
+    let denied = heads.filter(|head| head.starts_with("HTTP/1.1 503")).count();
+    assert!((13..30).contains(&denied), "{denied} of 30 were denied");
+}
+
 #[test]
 fn a_usual_client_keeps_its_place_among_many_that_say_nothing() {
     let (worker, dial) = listener();
