--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -221,8 +221,11 @@
                         }
                     }
                     503 | 504 if declined => self.unserved(flight, Outcome::Full, report),
-                    // What is wrong with the request is not its server's failure.
-                    400..500 => self.unserved(flight, Outcome::Unfit, report),
+                    // What is wrong with the request is not its server's failure; to come too late, too early or
+                    // too often is nothing wrong with it.
+                    400..500 if !matches!(message.status, 408 | 425 | 429) => {
+                        self.unserved(flight, Outcome::Unfit, report)
+                    }
                     _ => self.unserved(flight, Outcome::Error, report),
                 }
             }
