Keep the module's later wake-ups; slow Gearman readers get back-pressure, not a cut

A burst of Gearman jobs whose clients left could leave about 1,000 sessions that never ended, and a program that did not end on SIGTERM. Cause: the core keeps one wake-up, the earliest asked for. News that reached the module after that time was due, but before the loop's tick, made the module ask for the next one; the core kept the passed time as the smaller, and the tick then cleared it, so that on a quiet front nothing woke the module again. Ruled out: rounding between milliseconds and microseconds (0.25 us at most, below the rounding to whole ones), and sessions lost by the front (its job table and the core agreed).

Now any event counts as the wake-up at that time. Gearman's peers have an outbox behind the ring buffer (64 MiB for all), and a client's submissions are left unread above 32 KiB of waiting answers or 256 waiting jobs. At a stop peers have 0.3 s to read their last answers once all sessions are over.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,7 +17,7 @@
 pub use table::{Line, Server, ServerTable};
 
 use crate::Dispatcher;
-use crate::api::{Action, Event, Outcome, Report, WorkerId};
+use crate::api::{Action, Event, Micros, Outcome, Report, WorkerId};
 use crate::settings::Site;
 
 /// What a front is to do.
@@ -64,7 +64,8 @@
     sessions: FxHashMap<SessionId, Session>,
     limit: usize,
     last: SessionId,
-    wake_at: Option<f64>,
+    /// When the module is to be woken, on its own clock.
+    wake_at: Option<Micros>,
     /// Sessions that ended while the module's present answer is carried out.
     ended: Vec<SessionId>,
     actions: Vec<Action>,
@@ -170,15 +171,14 @@
 
     /// Lets the module know that time has passed, if it asked for that.
     pub fn tick(&mut self) {
-        if self.wake_at.is_some_and(|at| at <= self.clock.now()) {
-            self.wake_at = None;
+        if self.wake_at.is_some_and(|at| at <= micros(self.clock.now())) {
             stages::route::drive(self, Event::Wake);
         }
     }
 
     /// When `tick` is to be called next.
     pub fn wake_at(&self) -> Option<f64> {
-        self.wake_at
+        self.wake_at.map(millis)
     }
 
     /// The next command for the front.
--- a/src/core/stages/route.rs
+++ b/src/core/stages/route.rs
@@ -14,6 +14,9 @@
 /// Drives the module with one event and carries its actions on.
 pub fn drive(core: &mut Core, event: Event<'_>) {
     let now = micros(core.clock.now());
+    // Any event wakes the module, which then asks anew for what is left. Guards against sessions that never end: a
+    // time that has passed, kept until the next tick, would hide the later one asked for meanwhile.
+    core.wake_at = core.wake_at.filter(|&at| at > now);
     let mut actions = std::mem::take(&mut core.actions);
     core.module.handle(now, event, &mut actions);
     for action in actions.drain(..) {
@@ -28,7 +31,6 @@
             Action::Probe { worker } => send::probe(core, worker),
             Action::Subscribe => send::subscribe(core),
             Action::WakeAt(at) => {
-                let at = millis(at);
                 core.wake_at = Some(core.wake_at.map_or(at, |earlier| earlier.min(at)));
             }
         }
--- a/src/front/gearman/clients.rs
+++ b/src/front/gearman/clients.rs
@@ -8,8 +8,9 @@
 use crate::front::Sockets;
 use crate::net::ConnId;
 
-/// Jobs that one connection may wait for.
-const WAITS: usize = 256;
+/// Jobs that one connection may wait for. Beyond it a client's further packets are left unread, and a worker that
+/// submits as well, and must be read, is told so.
+pub(super) const WAITS: usize = 256;
 
 impl Gearman {
     /// Reads a client's packet; false where it does not read.
@@ -160,6 +161,8 @@
                 peer.waits.swap_remove(at);
             }
             self.say(net, id, handle.as_bytes(), &verdict);
+            // It may have packets that were left unread until now.
+            self.again.push_back(id);
         }
     }
 
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -18,7 +18,7 @@
 use super::{Leaving, Sockets};
 use crate::api::WorkerId;
 use crate::core::{Clock, Command, Core, SessionId};
-use crate::net::ConnId;
+use crate::net::{ConnId, HELD};
 
 pub use config::{Config, Function};
 use identity::{Identity, Role};
@@ -32,6 +32,11 @@
 const JOBS: usize = 16;
 /// Packets read from a connection before others have their turn.
 const TURNS: usize = 64;
+/// Bytes of answers that wait for a client to read them, above which its submissions are left unread.
+const MARK: usize = 32 * 1024;
+/// Bytes of answers that wait beside the connections' buffers, for all peers together. A client waits for
+/// `clients::WAITS` answers at most, of `HELD` bytes each; few are so slow at once.
+const OUTBOX: usize = 64 << 20;
 /// How long a peer may take to prove who it is and to send a whole packet, in milliseconds.
 const INTRODUCTION: f64 = 5000.0;
 
@@ -47,6 +52,8 @@
     /// Sessions whose answers it waits for.
     waits: Vec<SessionId>,
     worker: Option<Worker>,
+    /// Packets that its connection's buffer has no room for yet.
+    outbox: VecDeque<Vec<u8>>,
     /// It has proved who it is, where that is asked for.
     known: bool,
     /// A whole packet is to come by then, if one is due: the first, or the rest of one that has begun.
@@ -77,6 +84,8 @@
     record: Record,
     identity: Option<Identity>,
     stopping: Option<Leaving>,
+    /// Bytes in the outboxes of all peers.
+    outbox: usize,
     /// Connections to be looked at again.
     again: VecDeque<ConnId>,
     /// Connections that had their turns and may hold more.
@@ -99,6 +108,7 @@
             identity,
             config,
             stopping: None,
+            outbox: 0,
             again: VecDeque::new(),
             later: Vec::new(),
         })
@@ -160,6 +170,7 @@
                 exceptions: false,
                 waits: Vec::new(),
                 worker: None,
+                outbox: VecDeque::new(),
                 known,
                 sends: Some(since + INTRODUCTION),
                 ends: None,
@@ -184,6 +195,12 @@
             }
             let (Some(conn), Some(peer)) = (net.conn(id), self.peers.get_mut(&id)) else { return };
             conn.pump();
+            while let Some(packet) = peer.outbox.front().filter(|packet| packet.len() <= conn.tx.room()) {
+                conn.tx.push(packet);
+                self.outbox -= packet.len();
+                peer.outbox.pop_front();
+                conn.pump();
+            }
             if conn.closing {
                 conn.rx.consume(conn.rx.len());
                 if conn.eof || conn.broken {
@@ -216,6 +233,13 @@
                     }
                 }
             }
+            // Guards against a cut for a client that reads more slowly than answers come: what it submits is left
+            // unread until it has taken some. A worker is read always, since what it says makes room.
+            let unread = conn.tx.len() + peer.outbox.iter().map(Vec::len).sum::<usize>();
+            if peer.worker.is_none() && (unread > MARK || peer.waits.len() >= clients::WAITS) {
+                peer.sends = None;
+                return;
+            }
             let ended = conn.eof;
             let (read, begun) = (take(&mut conn.rx), !conn.rx.is_empty());
             // Guards against peers that connect and say nothing, or send half a packet, and take others' places.
@@ -272,14 +296,19 @@
         }
     }
 
-    /// Writes to a peer; one that does not read what it is sent is ended.
+    /// Writes to a peer, as it reads. Only where all outboxes are full, or the packet could never fit, is it ended.
     fn put(&mut self, net: &mut Sockets, id: ConnId, bytes: Vec<u8>) {
-        if !net.write(id, &bytes)
-            && let Some(conn) = net.conn(id)
-        {
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        if peer.outbox.is_empty() && net.write(id, &bytes) {
+            return;
+        }
+        let Some(conn) = net.conn(id) else { return };
+        if bytes.len() > HELD || self.outbox + bytes.len() > OUTBOX {
             conn.broken = true;
-            self.again.push_back(id);
+            return self.again.push_back(id);
         }
+        self.outbox += bytes.len();
+        peer.outbox.push_back(bytes);
     }
 
     fn error(&mut self, net: &mut Sockets, id: ConnId, code: &str, text: &str) {
@@ -290,6 +319,7 @@
     fn leave(&mut self, net: &mut Sockets, id: ConnId) {
         net.close(id);
         let Some(peer) = self.peers.remove(&id) else { return };
+        self.outbox -= peer.outbox.iter().map(Vec::len).sum::<usize>();
         if let Some(worker) = peer.worker {
             self.worker_left(worker);
         }
@@ -362,10 +392,14 @@
         self.stopping.is_some_and(|leaving| self.core.clock().now() >= leaving.last_call)
     }
 
-    /// Whether all that was taken is answered and written.
+    /// Whether all that was taken is answered, and written as far as peers read.
     pub fn stopped(&mut self, net: &mut Sockets) -> bool {
-        let written = |id: &ConnId| net.conn(*id).is_none_or(|c| c.is_written() || c.broken);
-        self.closes() && self.core.open() == 0 && self.peers.keys().all(written)
+        let now = self.core.clock().now();
+        let Some(leaving) = self.stopping.as_mut().filter(|_| self.core.open() == 0) else { return false };
+        let mut written = |(id, peer): (&ConnId, &Peer)| {
+            net.conn(*id).is_none_or(|c| c.is_written() && peer.outbox.is_empty() || c.broken)
+        };
+        leaving.is_over(now, || self.peers.iter().all(&mut written))
     }
 
     /// The handle of a session's job.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -20,6 +20,8 @@
 pub struct Leaving {
     /// Nothing new is taken from here on.
     pub last_call: f64,
+    /// Since when all sessions are over.
+    quiet: Option<f64>,
 }
 
 impl Leaving {
@@ -33,6 +35,19 @@
     /// signal. What comes last has half of the time or more left.
     const SERVES: f64 = 1200.0;
 
+    /// How long peers may take to read the last answers once all sessions are over.
+    const READS: f64 = 300.0;
+
+    /// Whether the program can end, now that no session is open. Guards against a stop that never ends since a peer
+    /// does not read its answers.
+    pub fn is_over(&mut self, now: f64, written: impl FnOnce() -> bool) -> bool {
+        if now < self.last_call {
+            return false;
+        }
+        let since = *self.quiet.get_or_insert(now);
+        now >= since + Leaving::READS || written()
+    }
+
     /// A stop that begins now.
     pub fn begin(core: &mut Core) -> Leaving {
         let now = core.clock().now();
@@ -40,7 +55,7 @@
         let end = longest.min(Leaving::LONGEST) + Leaving::MORE - Leaving::MARGIN;
         let serves = Leaving::SERVES.min(end / 2.0);
         core.hurry(now + Leaving::MORE - Leaving::MARGIN, now + end);
-        Leaving { last_call: now + serves }
+        Leaving { last_call: now + serves, quiet: None }
     }
 }
 
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -169,8 +169,10 @@
         self.stopping.is_some_and(|leaving| self.core.clock().now() >= leaving.last_call)
     }
 
-    /// Whether all that was taken is answered and written.
+    /// Whether all that was taken is answered, and written as far as peers read.
     pub fn stopped(&mut self, net: &mut Sockets) -> bool {
-        self.closes() && self.core.open() == 0 && self.clients.all_written(net)
+        let now = self.core.clock().now();
+        let Some(leaving) = self.stopping.as_mut().filter(|_| self.core.open() == 0) else { return false };
+        leaving.is_over(now, || self.clients.all_written(net))
     }
 }
--- a/tests/common/gear.rs
+++ b/tests/common/gear.rs
@@ -20,6 +20,7 @@
 impl Gear {
     pub fn connect(address: SocketAddr) -> Gear {
         let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Gear(Box::new(stream))
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -117,3 +117,25 @@
     clock.set(6.5);
     assert_eq!(clock.now(), 6.5);
 }
+
+/// Guards the module's wake-ups: news that come after one is due and before the loop's tick re-arm the module for
+/// a later time, which the tick must not take away. Lost, a session on a quiet front never ends.
+#[test]
+fn a_wake_up_is_not_lost_when_other_news_come_first() {
+    let (mut core, clock) = core(10, &[]);
+    for class in [2, 0] {
+        core.request(request(class, 4000.0)).unwrap();
+    }
+    for _ in 0..1000 {
+        if core.open() == 0 {
+            return;
+        }
+        let at = core.wake_at().expect("a session is open and nothing will wake the module");
+        assert!(at <= START + 4000.0, "the module is woken past the deadline, at {at}");
+        clock.set(at);
+        // What comes in before the tick.
+        core.listed(Vec::new(), false);
+        core.tick();
+    }
+    panic!("it is woken again and again and never ends the session");
+}
--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 
 use gear::*;
-use micabeam::front::gearman::packets::kind;
+use micabeam::front::gearman::packets::{kind, request};
 
 #[test]
 fn a_job_goes_all_the_way_with_what_its_worker_tells() {
@@ -307,3 +307,64 @@
     }
     assert!(runs.lock().unwrap().values().all(|&ran| ran == 1));
 }
+
+/// Guards against a cut for a client that reads more slowly than its answers come: it gets all of them, once each.
+#[test]
+fn a_client_that_reads_late_gets_every_answer() {
+    const JOBS: usize = 250;
+    let (_program, address) = gearman("");
+    let mut client = Gear::connect(address);
+    for job in 0..JOBS {
+        client.submit("search", &format!("u{job}"), "lake");
+    }
+    let mut worker = Gear::worker(address, &["search"]);
+    // More in all than the sockets' buffers take.
+    let result = "x".repeat(60_000);
+    for _ in 0..JOBS {
+        let (handle, _) = worker.fetch().unwrap();
+        worker.send(kind::WORK_COMPLETE, &[&handle, &result]);
+    }
+    worker.send(kind::ECHO_REQ, &["read"]);
+    worker.expect(kind::ECHO_RES);
+    // What it submits now is left unread until it has read.
+    client.send(kind::ECHO_REQ, &["end"]);
+    let answers = (0..JOBS).map(|_| client.expect(kind::WORK_COMPLETE).remove(0));
+    assert_eq!(answers.collect::<std::collections::HashSet<_>>().len(), JOBS);
+    client.expect(kind::ECHO_RES);
+}
+
+/// Guards the end of sessions that have no client and no worker, and of a program whose peers read nothing.
+#[test]
+fn a_burst_whose_clients_left_ends_by_its_deadlines_and_so_does_the_program() {
+    let (program, address) = gearman("");
+    for client in 0..4 {
+        let mut client_of = Gear::connect(address);
+        for job in 0..300 {
+            client_of.send(kind::SUBMIT_JOB, &["hold", &format!("u{client}-{job}"), "lake"]);
+        }
+        client_of.expect(kind::JOB_CREATED);
+    }
+    // It asks for more than the sockets' buffers take and reads nothing of it.
+    let mut deaf = TcpStream::connect(address).unwrap();
+    let echo = request(kind::ECHO_REQ, &["x".repeat(60_000).as_bytes()]);
+    let (begins, begun) = std::sync::mpsc::channel();
+    let writer = std::thread::spawn(move || {
+        for _ in 0..300 {
+            let _ = deaf.write_all(&echo);
+            let _ = begins.send(());
+        }
+    });
+    // Once so many are sent the first are answered.
+    begun.iter().take(50).count();
+    program.signal("TERM");
+    let begun = std::time::Instant::now();
+    let (well, text) = program.wait();
+    assert!(well && begun.elapsed() < std::time::Duration::from_secs(8), "{:?}", begun.elapsed());
+    let count = |name: &str| -> u64 {
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line.unwrap().parse().unwrap()
+    };
+    let ends = ["turned_away", "served", "denied", "failed", "left"];
+    assert_eq!(count("taken"), ends.into_iter().map(count).sum::<u64>(), "{text}");
+    writer.join().unwrap();
+}
