--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -145,6 +145,17 @@
         stages::relay::started(self, session, attempt);
     }
 
+    /// All of a dispatch's request, relayed as it came, is with its server.
+    pub fn written(&mut self, session: SessionId, attempt: usize) {
+        stages::relay::written(self, session, attempt);
+    }
+
+    /// The answer of a dispatch has begun, and is relayed as it comes: from now on the session has no deadline, and
+    /// ends as the dispatch does. False if the dispatch is over already, and its answer must not be passed on.
+    pub fn streaming(&mut self, session: SessionId, attempt: usize) -> bool {
+        stages::relay::streaming(self, session, attempt)
+    }
+
     /// The list as last held before a restart.
     pub fn known(&mut self, lines: Vec<Line>) {
         let members = self.table.apply(lines, true);
--- a/src/core/session.rs
+++ b/src/core/session.rs
@@ -35,8 +35,10 @@
 pub struct Dispatch {
     /// The backend server.
     pub server: WorkerId,
-    /// When it was sent.
+    /// When it was sent; of a body that was relayed as it came, when the last of it was.
     pub sent: f64,
+    /// When its answer began, where that is relayed as it comes.
+    pub began: Option<f64>,
     /// It has not ended.
     pub out: bool,
     /// It is known never to have run.
@@ -52,4 +54,6 @@
     pub dispatches: Vec<Dispatch>,
     /// It has had its answer, or its client left.
     pub over: bool,
+    /// Its answer has begun to be relayed: what becomes of the dispatch is what becomes of the session.
+    pub streaming: bool,
 }
--- a/src/core/stages/relay.rs
+++ b/src/core/stages/relay.rs
@@ -22,13 +22,20 @@
     };
     dispatch.out = false;
     dispatch.never_ran = outcome.never_ran();
-    let (worker, latency) = (dispatch.server, micros(now - dispatch.sent));
+    // How long its server took: the pace of a long answer is its client's as well.
+    let (worker, latency) = (dispatch.server, micros(dispatch.began.unwrap_or(now) - dispatch.sent));
+    let streaming = core.sessions.get(&id).is_some_and(|s| s.streaming);
     match outcome {
         Outcome::Served => book::answer(core, id, Verdict::Served(result)),
+        // Bytes of the answer are out: nothing else can follow.
+        _ if streaming => {
+            core.counters.may_have_run += 1;
+            book::answer(core, id, Verdict::Failed);
+        }
         _ if outcome.never_ran() => core.counters.never_ran += 1,
         _ => core.counters.may_have_run += 1,
     }
-    let finished = outcome == Outcome::Served;
+    let finished = outcome == Outcome::Served || streaming;
     let job = JobId(id);
     route::drive(core, Event::Ended(Ended { job, attempt, worker, outcome, latency, finished, report }));
     true
@@ -41,3 +48,24 @@
         route::drive(core, Event::Started { job: JobId(id), attempt });
     }
 }
+
+/// All of a dispatch's request is with its server, which is waited for from now on.
+pub fn written(core: &mut Core, id: SessionId, attempt: usize) {
+    let now = core.clock.now();
+    let dispatch = core.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(attempt));
+    if let Some(dispatch) = dispatch.filter(|d| d.out && d.began.is_none()) {
+        dispatch.sent = now;
+    }
+}
+
+/// The answer of a dispatch has begun, and is relayed as it comes. False if the dispatch is over.
+pub fn streaming(core: &mut Core, id: SessionId, attempt: usize) -> bool {
+    let now = core.clock.now();
+    let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return false };
+    let Some(dispatch) = session.dispatches.get_mut(attempt).filter(|d| d.out) else { return false };
+    dispatch.began.get_or_insert(now);
+    if !std::mem::replace(&mut session.streaming, true) {
+        route::drive(core, Event::Streaming(JobId(id)));
+    }
+    true
+}
--- /dev/null
+++ b/src/flow/tests.rs
@@ -0,0 +1,210 @@
+//! The flow by itself, on a clock that the test sets.
+
+use proptest::prelude::*;
+
+use super::*;
+
+const PACE: Pace = Pace { least: 10_000.0, over: 2_000.0, silence: 500.0 };
+
+fn allowance(window: usize) -> Allowance {
+    Allowance { window, pace: PACE }
+}
+
+/// A flow with so many streams whose lanes up are open.
+fn flow(streams: u64, window: usize, pool: usize) -> Flow {
+    let mut flow = Flow::new(pool, 1_000);
+    for stream in 0..streams {
+        flow.open(stream, allowance(window));
+        flow.pass(stream, Way::Up, 0, 0.0);
+    }
+    flow
+}
+
+/// Guards fairness: a stream that always has more gets one turn a round, like all others.
+#[test]
+fn a_fast_stream_has_its_turns_among_others() {
+    let mut flow = flow(5, 10_000, 1 << 20);
+    let mut turns = Vec::new();
+    for _ in 0..20 {
+        let turn = flow.turn().unwrap();
+        assert_eq!(turn.read, 1_000);
+        turns.push(turn.stream);
+        let moved = Moved { read: 1_000, more: true, taken: 1_000, held: 0, blocked: false };
+        flow.moved(turn, moved, 0.0);
+    }
+    for round in turns.chunks(5) {
+        assert_eq!(round, [0, 1, 2, 3, 4]);
+    }
+}
+
+/// Guards the memory: a source is not read past the window while its sink takes nothing.
+#[test]
+fn a_sink_that_takes_nothing_stops_its_source() {
+    let mut flow = flow(1, 2_500, 1 << 20);
+    let mut held = 0;
+    while let Some(turn) = flow.turn() {
+        held += turn.read;
+        flow.moved(turn, Moved { read: turn.read, more: true, held, blocked: true, ..Moved::default() }, 0.0);
+    }
+    assert_eq!((held, flow.held()), (2_500, 2_500));
+    flow.writable(0, Way::Up, 1.0);
+    let turn = flow.turn().unwrap();
+    assert_eq!(turn.read, 0, "its window is full");
+    flow.moved(turn, Moved { taken: 2_000, held: 500, more: true, ..Moved::default() }, 1.0);
+    assert_eq!(flow.turn().unwrap().read, 1_000);
+}
+
+/// Guards small requests: with all windows and the pool full, a lane that holds nothing may still read its least.
+#[test]
+fn a_small_request_passes_while_the_pool_is_full() {
+    let mut flow = flow(3, 1 << 20, 10_000);
+    let mut held = [0; 3];
+    while let Some(turn) = flow.turn() {
+        let at = turn.stream as usize;
+        held[at] += turn.read;
+        let moved = Moved { read: turn.read, more: true, held: held[at], blocked: true, ..Moved::default() };
+        flow.moved(turn, moved, 0.0);
+    }
+    assert!(flow.held() >= 10_000 && flow.held() <= 10_000 + 3 * LEAST, "{}", flow.held());
+    flow.open(9, allowance(1 << 20));
+    flow.pass(9, Way::Up, 0, 1.0);
+    assert_eq!(flow.turn(), Some(Turn { stream: 9, way: Way::Up, read: 1_000 }));
+    // Once there is room those that waited for it go on.
+    flow.close(0);
+    flow.close(1);
+    assert_eq!(flow.turn().map(|t| t.stream), Some(2));
+}
+
+/// Guards against peers that are blamed for what another does: only the side that is waited for can be too slow.
+#[test]
+fn the_side_that_is_waited_for_is_given_up() {
+    let mut flow = flow(2, 2_500, 1 << 20);
+    // Stream 0: its sink takes nothing. Stream 1: its source gives nothing.
+    let turn = flow.turn().unwrap();
+    flow.moved(turn, Moved { read: 1_000, held: 1_000, blocked: true, ..Moved::default() }, 0.0);
+    let turn = flow.turn().unwrap();
+    flow.moved(turn, Moved::default(), 0.0);
+    assert_eq!(flow.due(), PACE.silence);
+    assert_eq!(flow.expire(PACE.silence - 1.0), []);
+    let given = flow.expire(PACE.silence);
+    assert_eq!(
+        given.iter().map(|g| (g.stream, g.verdict)).collect::<Vec<_>>(),
+        [(0, Verdict::Silent), (1, Verdict::Silent)]
+    );
+    assert_eq!(given[1].side, Side::Source);
+}
+
+#[test]
+fn a_trickle_is_too_slow_and_a_pause_of_the_other_side_is_not() {
+    let mut meter = Meter::new(PACE);
+    let mut now = 0.0;
+    meter.waits(true, now);
+    let verdict = loop {
+        now += 100.0;
+        meter.moved(100, now);
+        if let Some(verdict) = meter.check(now) {
+            break verdict;
+        }
+    };
+    assert_eq!((verdict, now), (Verdict::Slow, PACE.over));
+    let mut meter = Meter::new(PACE);
+    for at in 0..100 {
+        meter.waits(true, f64::from(at) * 1e6);
+        meter.moved(1_000, f64::from(at) * 1e6 + 90.0);
+        assert_eq!(meter.check(f64::from(at) * 1e6 + 90.0), None);
+        meter.waits(false, f64::from(at) * 1e6 + 90.0);
+    }
+}
+
+#[test]
+fn a_fast_start_does_not_buy_a_crawl() {
+    let mut meter = Meter::new(PACE);
+    meter.waits(true, 0.0);
+    meter.moved(100_000_000, 1.0);
+    let mut now = 1.0;
+    while meter.check(now).is_none() {
+        now += 100.0;
+        meter.moved(10, now);
+        assert!(now < 3.0 * PACE.over);
+    }
+}
+
+#[test]
+fn a_request_is_dispatched_when_its_class_says() {
+    let hold = |when| Hold::new(when, 1_000, 100_000.0, 0.0);
+    assert_eq!(hold(Dispatch::Head).next(0, false, 0.0), Next::Go);
+    assert_eq!(hold(Dispatch::Prefix).next(999, false, 9e9), Next::Wait);
+    assert_eq!(hold(Dispatch::Prefix).next(1_000, false, 9e9), Next::Go);
+    assert_eq!(hold(Dispatch::Prefix).next(3, true, 0.0), Next::Go);
+    assert_eq!(hold(Dispatch::Pace).next(1_000, false, 1.0), Next::Go);
+    assert_eq!(hold(Dispatch::Pace).next(1_000, false, 100.0), Next::GiveUp);
+    assert_eq!(hold(Dispatch::Pace).next(20_000, false, 100.0), Next::Go);
+    assert_eq!(hold(Dispatch::Pace).next(3, true, 1e6), Next::Go);
+}
+
+#[test]
+fn bounds_on_streams_are_kept_and_given_back() {
+    let mut admission = Admission::new(Bounds { total: 3, tenant: 2, server: 1 });
+    for tenant in ["a", "a"] {
+        admission.enter(tenant).unwrap();
+    }
+    assert_eq!(admission.enter("a"), Err(Full::Tenant));
+    admission.enter("b").unwrap();
+    assert_eq!(admission.enter("c"), Err(Full::Total));
+    admission.leave("a");
+    admission.enter("a").unwrap();
+    let (mut slots, server) = (Slots::new(1), WorkerId::default());
+    assert!(slots.take(server) && !slots.take(server));
+    assert_eq!(slots.report(server).free_slots, Some(0.0));
+    slots.give_back(server);
+    assert_eq!(slots.report(server).free_slots, Some(1.0));
+}
+
+use crate::api::WorkerId;
+
+proptest! {
+    /// Whatever peers do: what is held stays within the pool and the least of each lane, no lane passes its window,
+    /// and a lane that can move has a turn waiting (none is forgotten).
+    #[test]
+    fn bounds_hold_and_no_lane_is_forgotten(
+        steps in proptest::collection::vec((0u64..6, 0usize..4, 0usize..3000), 1..400),
+    ) {
+        let (window, pool) = (6_000, 9_000);
+        let mut flow = flow(6, window, pool);
+        let (mut held, mut now) = ([0usize; 6], 0.0);
+        for (stream, what, size) in steps {
+            now += 1.0;
+            match what {
+                0 => flow.readable(stream, Way::Up, now),
+                1 => flow.writable(stream, Way::Up, now),
+                _ => {
+                    let Some(turn) = flow.turn() else { continue };
+                    let at = turn.stream as usize;
+                    let read = turn.read.min(size);
+                    held[at] += read;
+                    let taken = if what == 2 { held[at].min(size) } else { 0 };
+                    held[at] -= taken;
+                    let more = read == turn.read;
+                    let moved = Moved { read, more, taken, held: held[at], blocked: held[at] > 0 };
+                    flow.moved(turn, moved, now);
+                }
+            }
+            prop_assert_eq!(flow.held(), held.iter().sum::<usize>());
+            prop_assert!(flow.held() <= pool + 6 * LEAST);
+            prop_assert!(held.iter().all(|&h| h <= window));
+        }
+        // All sinks take all, all sources have more: every lane gets a turn.
+        for stream in 0..6 {
+            flow.writable(stream, Way::Up, now);
+            flow.readable(stream, Way::Up, now);
+        }
+        let mut seen = [false; 6];
+        for _ in 0..60 {
+            let Some(turn) = flow.turn() else { break };
+            seen[turn.stream as usize] = true;
+            held[turn.stream as usize] = 0;
+            flow.moved(turn, Moved { read: turn.read, more: true, taken: 1, held: 0, blocked: false }, now);
+        }
+        prop_assert!(seen.iter().all(|&s| s), "{:?}", seen);
+    }
+}
--- a/src/front/platform/discovery.rs
+++ b/src/front/discovery.rs
@@ -1,11 +1,10 @@
-//! Discovery: a watch of the server table's list.
+//! Discovery: a watch of the server table's list, for any front that takes it from there. It decides nothing.
 
 use std::net::SocketAddr;
 
-use super::Platform;
+use super::Sockets;
 use crate::api::{Member, MemberState, WorkerId};
-use crate::core::{Line, micros};
-use crate::front::Sockets;
+use crate::core::{Core, Line, micros};
 use crate::json::{self, JsonValue, flag, number, text};
 use crate::net::ConnId;
 use crate::net::http;
@@ -27,8 +26,16 @@
     Pausing { until: f64 },
 }
 
+/// What a call has brought.
+pub enum Heard {
+    /// Lines, and whether they are the whole list.
+    List(Vec<Line>, bool),
+    /// It failed. The module says when to call again.
+    Failed,
+}
+
 /// The one connection to discovery.
-pub(super) struct Discovery {
+pub struct Discovery {
     address: SocketAddr,
     /// The address in the file as last read. The environment may have named another one at the start.
     told: Option<SocketAddr>,
@@ -39,155 +46,155 @@
 }
 
 impl Discovery {
+    /// A watch that has not begun, from a version on.
     pub fn new(address: SocketAddr, told: Option<SocketAddr>, seq: u64) -> Discovery {
         Discovery { address, told, conn: None, seq: Some(seq), watch: Watch::Off }
     }
 
+    /// Whether a connection is its own.
     pub fn owns(&self, conn: ConnId) -> bool {
         self.conn == Some(conn)
     }
 
+    /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
         match self.watch {
             Watch::Off => f64::INFINITY,
             Watch::Calling { until, .. } | Watch::Pausing { until } => until,
         }
     }
-}
 
-/// The version and lines of a list or of its changes, and whether it is whole.
-pub fn read_list(list: &JsonValue, site: &Site) -> Result<(u64, Vec<Line>, bool), String> {
-    let seq = number(list, "seq").ok_or("the list has no seq")? as u64;
-    let place = |names: &[String], name: Option<&str>| {
-        names.iter().position(|n| Some(n.as_str()) == name).unwrap_or(names.len()) as u16
-    };
-    let line = |host: &JsonValue| {
-        let name = text(host, "host").ok_or("a line of the list has no host")?;
-        let state = match text(host, "health") {
-            Some("up") => MemberState::Ready,
-            Some("removed") => MemberState::Gone,
-            _ => MemberState::Draining,
-        };
-        let member = Member {
-            worker: WorkerId::default(),
-            kind: place(&site.kinds, text(host, "class")),
-            zone: place(&site.zones, text(host, "site")),
-            cell: number(host, "block").unwrap_or(0.0) as u32,
-            size: number(host, "share").unwrap_or(1.0),
-            born: micros(number(host, "born_ms").unwrap_or(0.0)),
-            state,
-        };
-        let address = text(host, "dial").unwrap_or("").to_string();
-        Ok(Line { name: name.to_string(), address, member })
-    };
-    let lines = json::list(list, "hosts").iter().map(line).collect::<Result<_, String>>()?;
-    Ok((seq, lines, flag(list, "whole")))
-}
-
-impl Platform {
     /// Calls discovery, unless a call was begun just now. One that has waited for a while is begun anew, on a new
     /// connection: the old one may have fallen silent.
-    pub(super) fn call_discovery(&mut self, net: &mut Sockets) {
-        let now = self.core.clock().now();
-        if let Watch::Calling { since, .. } = self.discovery.watch {
+    pub fn call(&mut self, net: &mut Sockets, now: f64) -> Option<Heard> {
+        if let Watch::Calling { since, .. } = self.watch {
             if now < since + FRESH {
-                return;
+                return None;
             }
             self.hang_up(net);
         }
-        let wait = self.discovery.seq.map_or(0.0, |_| WAIT);
-        self.discovery.watch = Watch::Calling { since: now, until: now + wait + GRACE };
+        let wait = self.seq.map_or(0.0, |_| WAIT);
+        self.watch = Watch::Calling { since: now, until: now + wait + GRACE };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
-        let conn = match self.discovery.conn.filter(fresh) {
+        let conn = match self.conn.filter(fresh) {
             Some(conn) => Ok(conn),
             None => {
-                if let Some(old) = self.discovery.conn.take() {
-                    net.close(old);
-                }
-                net.open(self.discovery.address)
+                self.hang_up(net);
+                net.open(self.address)
             }
         };
-        let Ok(conn) = conn else { return self.discovery_failed(net) };
-        self.discovery.conn = Some(conn);
-        let target = match self.discovery.seq {
+        let Ok(conn) = conn else { return Some(self.failed(net)) };
+        self.conn = Some(conn);
+        let target = match self.seq {
             Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={WAIT}"),
             None => "/discovery/hosts".to_string(),
         };
-        let host = [("Host", self.discovery.address.to_string())];
+        let host = [("Host", self.address.to_string())];
         net.write(conn, &http::ask("GET", &target, &host, None));
+        None
     }
 
-    pub(super) fn discovery_ready(&mut self, net: &mut Sockets) {
-        let Some(conn) = self.discovery.conn.and_then(|id| net.conn(id)) else { return };
+    /// Its connection can be read, or broke.
+    pub fn ready(&mut self, net: &mut Sockets, now: f64, site: &Site) -> Option<Heard> {
+        let conn = self.conn.and_then(|id| net.conn(id))?;
         conn.pump();
         let ended = conn.eof || conn.broken;
         let message = http::response(&mut conn.rx, ended);
-        let calling = matches!(self.discovery.watch, Watch::Calling { .. });
+        let calling = matches!(self.watch, Watch::Calling { .. });
         match message {
-            Ok(None) if !ended => {}
+            Ok(None) if !ended => None,
             Ok(Some(message)) if calling && message.status == 200 => {
                 if ended || message.close {
                     self.hang_up(net);
                 }
-                let list = json::parse(&message.body).and_then(|list| read_list(&list, self.core.site()));
-                match list {
-                    Ok((seq, lines, whole)) => self.news(net, seq, lines, whole),
+                match json::parse(&message.body).and_then(|list| read_list(&list, site)) {
+                    Ok((seq, lines, whole)) => {
+                        self.seq = Some(seq);
+                        self.watch = Watch::Pausing { until: now + PAUSE };
+                        Some(Heard::List(lines, whole))
+                    }
                     Err(e) => {
                         crate::say(format_args!("discovery's answer does not read: {e}"));
-                        self.discovery_failed(net);
+                        Some(self.failed(net))
                     }
                 }
             }
-            _ if calling => self.discovery_failed(net),
-            _ => self.hang_up(net),
-        }
-    }
-
-    fn news(&mut self, net: &mut Sockets, seq: u64, lines: Vec<Line>, whole: bool) {
-        // A process that was started again has none of its old connections.
-        for line in &lines {
-            let old = self.core.table().id(&line.name).and_then(|id| Some((id, self.core.table().get(id)?)));
-            if let Some((id, old)) = old
-                && (old.line.member.born, &old.line.address) != (line.member.born, &line.address)
-            {
-                self.drop_idle(net, id);
+            _ if calling => Some(self.failed(net)),
+            _ => {
+                self.hang_up(net);
+                None
             }
         }
-        self.discovery.seq = Some(seq);
-        self.discovery.watch = Watch::Pausing { until: self.core.clock().now() + PAUSE };
-        self.core.listed(lines, whole);
     }
 
     /// Goes over to the discovery service that the configuration names, if it names another one than before.
     /// Its versions need not go on from those of the old one, which soon ends all watches: the whole list is
     /// asked for first.
-    pub(super) fn follow(&mut self, net: &mut Sockets, told: Option<SocketAddr>) {
-        let Some(address) = told.filter(|_| told != self.discovery.told) else { return };
+    pub fn follow(&mut self, net: &mut Sockets, now: f64, told: Option<SocketAddr>) -> Option<Heard> {
+        let address = told.filter(|_| told != self.told)?;
         self.hang_up(net);
-        let watch = Watch::Pausing { until: self.core.clock().now() };
-        self.discovery = Discovery { address, told, conn: None, seq: None, watch };
-        self.tick_discovery(net);
+        let watch = Watch::Pausing { until: now };
+        *self = Discovery { address, told, conn: None, seq: None, watch };
+        self.tick(net, now)
     }
 
     fn hang_up(&mut self, net: &mut Sockets) {
-        if let Some(conn) = self.discovery.conn.take() {
+        if let Some(conn) = self.conn.take() {
             net.close(conn);
         }
     }
 
-    /// The call failed; the module says when to call again.
-    fn discovery_failed(&mut self, net: &mut Sockets) {
+    fn failed(&mut self, net: &mut Sockets) -> Heard {
         self.hang_up(net);
-        self.discovery.watch = Watch::Off;
-        self.core.list_failed();
+        self.watch = Watch::Off;
+        Heard::Failed
     }
 
-    pub(super) fn tick_discovery(&mut self, net: &mut Sockets) {
-        let now = self.core.clock().now();
-        match self.discovery.watch {
-            Watch::Calling { until, .. } if until <= now => self.discovery_failed(net),
-            Watch::Pausing { until } if until <= now => self.call_discovery(net),
-            _ => {}
+    /// Does what is due by now.
+    pub fn tick(&mut self, net: &mut Sockets, now: f64) -> Option<Heard> {
+        match self.watch {
+            Watch::Calling { until, .. } if until <= now => Some(self.failed(net)),
+            Watch::Pausing { until } if until <= now => self.call(net, now),
+            _ => None,
         }
     }
 }
+
+/// Servers of a list that were started again, or moved: their old connections are gone.
+pub fn renewed(core: &Core, lines: &[Line]) -> Vec<WorkerId> {
+    let renewed = |line: &Line| {
+        let id = core.table().id(&line.name)?;
+        let old = &core.table().get(id)?.line;
+        ((old.member.born, &old.address) != (line.member.born, &line.address)).then_some(id)
+    };
+    lines.iter().filter_map(renewed).collect()
+}
+
+/// The version and lines of a list or of its changes, and whether it is whole.
+pub fn read_list(list: &JsonValue, site: &Site) -> Result<(u64, Vec<Line>, bool), String> {
+    let seq = number(list, "seq").ok_or("the list has no seq")? as u64;
+    let place = |names: &[String], name: Option<&str>| {
+        names.iter().position(|n| Some(n.as_str()) == name).unwrap_or(names.len()) as u16
+    };
+    let line = |host: &JsonValue| {
+        let name = text(host, "host").ok_or("a line of the list has no host")?;
+        let state = match text(host, "health") {
+            Some("up") => MemberState::Ready,
+            Some("removed") => MemberState::Gone,
+            _ => MemberState::Draining,
+        };
+        let member = Member {
+            worker: WorkerId::default(),
+            kind: place(&site.kinds, text(host, "class")),
+            zone: place(&site.zones, text(host, "site")),
+            cell: number(host, "block").unwrap_or(0.0) as u32,
+            size: number(host, "share").unwrap_or(1.0),
+            born: micros(number(host, "born_ms").unwrap_or(0.0)),
+            state,
+        };
+        let address = text(host, "dial").unwrap_or("").to_string();
+        Ok(Line { name: name.to_string(), address, member })
+    };
+    let lines = json::list(list, "hosts").iter().map(line).collect::<Result<_, String>>()?;
+    Ok((seq, lines, flag(list, "whole")))
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts, and the gateway that joins them to the sockets.
 
+pub mod discovery;
 pub mod gearman;
 pub mod platform;
 
--- a/src/front/platform/config.rs
+++ b/src/front/platform/config.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::discovery::read_list;
 use crate::core::Line;
+use crate::front::discovery::read_list;
 use crate::json::{JsonValue, field, number, text};
 use crate::net::Budget;
 use crate::settings::Site;
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -4,7 +4,6 @@
 mod callbacks;
 mod clients;
 mod config;
-mod discovery;
 mod probes;
 
 use std::net::SocketAddr;
@@ -12,6 +11,7 @@
 
 use rustc_hash::FxHashMap;
 
+use super::discovery::{Discovery, Heard, renewed};
 use super::{Leaving, Sockets};
 use crate::api::{Outcome, Report};
 use crate::core::{Clock, Command, Core, SessionId};
@@ -20,7 +20,6 @@
 use backends::Backends;
 use clients::Clients;
 pub use config::Config;
-use discovery::Discovery;
 
 /// What a session's request looked like on the wire.
 struct Job {
@@ -69,7 +68,9 @@
         self.clients.budget = config.budget;
         self.backends.adopt(config.site.conn_idle, config.budget.backends);
         self.core.adopt(config.site, config.budget.sessions);
-        self.follow(net, config.discovery);
+        let now = self.core.clock().now();
+        let heard = self.discovery.follow(net, now, config.discovery);
+        self.heard(net, heard);
         self.carry_out(net);
     }
 
@@ -95,7 +96,9 @@
         } else if self.backends.owns(conn) {
             self.backend_ready(net, conn);
         } else {
-            self.discovery_ready(net);
+            let now = self.core.clock().now();
+            let heard = self.discovery.ready(net, now, self.core.site());
+            self.heard(net, heard);
         }
         self.carry_out(net);
     }
@@ -117,8 +120,25 @@
                 Command::Cancel { session, attempt } => self.cancel(net, session, attempt),
                 Command::Answer { session, verdict } => self.answer(net, session, verdict),
                 Command::Probe { server } => self.probe(net, server),
-                Command::Subscribe => self.call_discovery(net),
+                Command::Subscribe => {
+                    let heard = self.discovery.call(net, self.core.clock().now());
+                    self.heard(net, heard);
+                }
+            }
+        }
+    }
+
+    /// Tells the core what discovery has brought.
+    fn heard(&mut self, net: &mut Sockets, heard: Option<Heard>) {
+        match heard {
+            Some(Heard::List(lines, whole)) => {
+                for server in renewed(&self.core, &lines) {
+                    self.drop_idle(net, server);
+                }
+                self.core.listed(lines, whole);
             }
+            Some(Heard::Failed) => self.core.list_failed(),
+            None => {}
         }
     }
 
@@ -135,7 +155,8 @@
             self.client_ready(net, conn);
         }
         self.expire_backends(net);
-        self.tick_discovery(net);
+        let heard = self.discovery.tick(net, self.core.clock().now());
+        self.heard(net, heard);
         self.carry_out(net);
         let now = self.core.clock().now();
         self.sweep_clients(net, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod api;
 pub mod core;
+pub mod flow;
 pub mod front;
 pub mod json;
 mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -575,7 +575,7 @@
     /// An attempt that has not started by its aim waits behind others, or its connection or worker is silent.
     /// Guards against a wait to the deadline: where that does no harm it is called off and the job goes on.
     fn unheard(&mut self, now: Micros, id: JobId, attempt: usize, out: &mut Vec<Action>) {
-        let Some(p) = self.jobs.get_mut(&id) else { return };
+        let Some(p) = self.jobs.get_mut(&id).filter(|p| !p.streaming) else { return };
         let others = self.cycles[p.cycle].order.len() > 1;
         let spent = p.attempts.len() >= self.settings.limits.attempts || !others;
         let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.out && !a.started && !spent) else { return };
--- /dev/null
+++ b/src/net/body.rs
@@ -0,0 +1,407 @@
+//! Bodies of HTTP/1.1 messages, read and written piece by piece as they come (RFC 9112, sections 6 and 7).
+//!
+//! Owns the place in a body, and nothing else: no buffer, no socket, no time. The caller hands in the bytes that it
+//! holds and is told how many of them are framing, to be dropped, and how many are payload, to be passed on.
+
+use std::io::Write;
+
+use thiserror::Error;
+
+/// Longest line of a chunk: its size and its extensions, in bytes. Extensions are dropped; longer ones are an attack.
+pub const CHUNK_LINE: usize = 256;
+/// Bytes of chunk extensions in one body. Guards against a body that is all extensions.
+pub const EXTENSIONS: usize = 16 * 1024;
+/// Longest trailer section, in bytes.
+pub const TRAILERS: usize = 8 * 1024;
+/// Trailers in one section.
+const TRAILER_LINES: usize = 32;
+/// Trailers that would change how a message is read, where it goes or who sent it: never passed on (RFC 9110, 6.5.1).
+const FRAMING: [&str; 10] = [
+    "transfer-encoding",
+    "content-length",
+    "content-encoding",
+    "content-type",
+    "host",
+    "connection",
+    "trailer",
+    "te",
+    "authorization",
+    "expect",
+];
+
+/// How a body is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is none.
+    Empty,
+    /// So many bytes.
+    Length(u64),
+    /// Chunks, the last of them empty, and trailers.
+    Chunked,
+    /// All that comes until the peer ends its side; answers only.
+    UntilClose,
+}
+
+/// What is wrong with a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// A chunk's size is no hexadecimal number, or too large for one.
+    #[error("a chunk's size does not read")]
+    ChunkSize,
+    /// A chunk's line is longer than `CHUNK_LINE`, or all extensions longer than `EXTENSIONS`.
+    #[error("a chunk's extensions are too long")]
+    Extension,
+    /// A chunk does not end where its size says.
+    #[error("a chunk does not end where its size says")]
+    ChunkEnd,
+    /// The trailers do not read, or are longer than `TRAILERS`.
+    #[error("the trailers do not read")]
+    Trailers,
+    /// There is more than the most that was allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// So many bytes of payload are left: of a body with a length.
+    Length(u64),
+    /// At the start of a chunk's line.
+    Line,
+    /// So many bytes are left of a chunk.
+    Chunk(u64),
+    /// At the line end behind a chunk.
+    ChunkEnd,
+    /// Behind the last chunk.
+    Trailers,
+    UntilClose,
+    Done,
+}
+
+/// What is to be done with the bytes at hand: first drop `skip`, then pass on up to `payload` and tell `took`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Step {
+    /// Bytes of framing.
+    pub skip: usize,
+    /// Bytes of payload behind them.
+    pub payload: usize,
+}
+
+/// The place in a body that is being read.
+#[derive(Clone, Debug)]
+pub struct Decoder {
+    state: State,
+    most: u64,
+    seen: u64,
+    extensions: usize,
+    trailers: Vec<u8>,
+}
+
+impl Decoder {
+    /// At the start of a body of `most` bytes at the most; a stated length above that is refused at once.
+    pub fn new(framing: Framing, most: u64) -> Result<Decoder, BodyError> {
+        let state = match framing {
+            Framing::Empty | Framing::Length(0) => State::Done,
+            Framing::Length(length) if length > most => return Err(BodyError::TooLong),
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::Line,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Ok(Decoder { state, most, seen: 0, extensions: 0, trailers: Vec::new() })
+    }
+
+    /// Whether all of it has been read.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Bytes of payload taken so far.
+    pub fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// The trailers that came behind a chunked body and may be passed on, each with its line end.
+    pub fn trailers(&self) -> &[u8] {
+        &self.trailers
+    }
+
+    /// Looks at the bytes at hand, which start where the last call and `took` left off. Moves past framing; payload
+    /// is only counted off by `took`. A step of nothing asks for more bytes, unless the body `is_done`.
+    pub fn step(&mut self, bytes: &[u8]) -> Result<Step, BodyError> {
+        let mut skip = 0;
+        loop {
+            let rest = &bytes[skip..];
+            match self.state {
+                State::Done => return Ok(Step { skip, payload: 0 }),
+                State::UntilClose => return self.payload(skip, rest.len() as u64, rest.len()),
+                State::Length(left) | State::Chunk(left) => {
+                    return self.payload(skip, left, rest.len());
+                }
+                State::ChunkEnd => match rest {
+                    [] | [b'\r'] => return Ok(Step { skip, payload: 0 }),
+                    [b'\r', b'\n', ..] => {
+                        skip += 2;
+                        self.state = State::Line;
+                    }
+                    _ => return Err(BodyError::ChunkEnd),
+                },
+                State::Line => {
+                    let Some(end) = line_end(rest, CHUNK_LINE, BodyError::Extension)? else {
+                        // What has come of the line must be able to become a size.
+                        chunk_size(rest, false)?;
+                        return Ok(Step { skip, payload: 0 });
+                    };
+                    let line = &rest[..end];
+                    let size = chunk_size(line, true)?;
+                    self.extensions += if line.contains(&b';') { line.len() } else { 0 };
+                    if self.extensions > EXTENSIONS {
+                        return Err(BodyError::Extension);
+                    }
+                    skip += end + 2;
+                    self.state = match size {
+                        0 => State::Trailers,
+                        _ if size > self.most.saturating_sub(self.seen) => return Err(BodyError::TooLong),
+                        _ => State::Chunk(size),
+                    };
+                }
+                State::Trailers => {
+                    let mut at = 0;
+                    loop {
+                        let Some(end) = line_end(&rest[at..], TRAILERS, BodyError::Trailers)? else {
+                            if rest.len() > TRAILERS {
+                                return Err(BodyError::Trailers);
+                            }
+                            return Ok(Step { skip, payload: 0 });
+                        };
+                        at += end + 2;
+                        if end == 0 {
+                            break;
+                        }
+                    }
+                    if at > TRAILERS {
+                        return Err(BodyError::Trailers);
+                    }
+                    self.trailers = trailers(&rest[..at])?;
+                    skip += at;
+                    self.state = State::Done;
+                }
+            }
+        }
+    }
+
+    fn payload(&self, skip: usize, left: u64, at_hand: usize) -> Result<Step, BodyError> {
+        if self.state == State::UntilClose && left > self.most.saturating_sub(self.seen) {
+            return Err(BodyError::TooLong);
+        }
+        let payload = usize::try_from(left).unwrap_or(usize::MAX).min(at_hand);
+        Ok(Step { skip, payload })
+    }
+
+    /// So many bytes of payload, as many as the last step gave at most, were taken.
+    pub fn took(&mut self, count: usize) {
+        self.seen += count as u64;
+        let count = count as u64;
+        self.state = match self.state {
+            State::Length(left) if left <= count => State::Done,
+            State::Length(left) => State::Length(left - count),
+            State::Chunk(left) if left <= count => State::ChunkEnd,
+            State::Chunk(left) => State::Chunk(left - count),
+            other => other,
+        };
+    }
+
+    /// The peer has ended its side, and all bytes were stepped over. False where the body is cut short by that.
+    pub fn end(&mut self) -> bool {
+        if self.state == State::UntilClose {
+            self.state = State::Done;
+        }
+        self.is_done()
+    }
+}
+
+/// Where a line ends, without its CR LF; none where its end has not come. A line feed alone ends nothing: two readers
+/// that disagree on that see different messages.
+fn line_end(bytes: &[u8], most: usize, long: BodyError) -> Result<Option<usize>, BodyError> {
+    match bytes.iter().position(|&b| b == b'\n') {
+        Some(at) if at > most => Err(long),
+        Some(at) if at > 0 && bytes[at - 1] == b'\r' => Ok(Some(at - 1)),
+        Some(_) => Err(if long == BodyError::Extension { BodyError::ChunkSize } else { long }),
+        None if bytes.len() > most => Err(long),
+        None => Ok(None),
+    }
+}
+
+/// The size at the start of a chunk's line, of 15 digits at the most.
+fn chunk_size(line: &[u8], whole: bool) -> Result<u64, BodyError> {
+    let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+    let rest = &line[digits..];
+    let blank = rest.iter().take_while(|b| matches!(b, b' ' | b'\t')).count();
+    // A CR whose LF has not come, or control characters in an extension.
+    let behind = match rest.get(blank) {
+        None => blank == 0 || !whole,
+        Some(b';') => {
+            rest[blank..].iter().all(|&b| b == b'\t' || b >= b' ' && b != 0x7f || !whole && b == b'\r')
+        }
+        Some(b'\r') => !whole && rest.len() == blank + 1 && blank == 0,
+        Some(_) => false,
+    };
+    if digits > 15 || !behind || digits == 0 && (whole || !line.is_empty()) {
+        return Err(BodyError::ChunkSize);
+    }
+    let text = std::str::from_utf8(&line[..digits]).map_err(|_| BodyError::ChunkSize)?;
+    if text.is_empty() { Ok(0) } else { u64::from_str_radix(text, 16).map_err(|_| BodyError::ChunkSize) }
+}
+
+/// The trailers of a section that may be passed on.
+fn trailers(section: &[u8]) -> Result<Vec<u8>, BodyError> {
+    let mut lines = [httparse::EMPTY_HEADER; TRAILER_LINES];
+    let Ok(httparse::Status::Complete((_, lines))) = httparse::parse_headers(section, &mut lines) else {
+        return Err(BodyError::Trailers);
+    };
+    let mut out = Vec::new();
+    for line in lines.iter().filter(|l| !FRAMING.iter().any(|name| name.eq_ignore_ascii_case(l.name))) {
+        out.extend_from_slice(line.name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(line.value);
+        out.extend_from_slice(b"\r\n");
+    }
+    Ok(out)
+}
+
+/// What goes before `payload` bytes of a chunk, and behind them.
+pub fn chunk_head(payload: usize) -> Vec<u8> {
+    let mut out = Vec::with_capacity(18);
+    // Writing to a vector cannot fail.
+    let _ = write!(out, "{payload:x}\r\n");
+    out
+}
+
+/// The end of a chunked body.
+pub fn last_chunk(trailers: &[u8]) -> Vec<u8> {
+    [b"0\r\n", trailers, b"\r\n"].concat()
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    /// Reads a body of which more comes in pieces of these sizes: its payload and what is left behind it.
+    fn read(framing: Framing, wire: &[u8], pieces: &[usize]) -> Result<(Vec<u8>, Vec<u8>, bool), BodyError> {
+        let (mut decoder, mut out, mut held) = (Decoder::new(framing, 1 << 20)?, Vec::new(), Vec::new());
+        let (mut at, mut sizes) = (0, pieces.iter().cycle());
+        loop {
+            let step = decoder.step(&held)?;
+            held.drain(..step.skip);
+            // Taken one byte short, so that a piece is stepped over twice.
+            let some = if step.payload > 1 { step.payload - 1 } else { step.payload };
+            out.extend(held.drain(..some));
+            decoder.took(some);
+            if step.skip + step.payload > 0 && !decoder.is_done() {
+                continue;
+            }
+            if decoder.is_done() || at == wire.len() {
+                held.extend_from_slice(&wire[at..]);
+                return Ok((out, held, decoder.is_done()));
+            }
+            let end = (at + sizes.next().unwrap()).min(wire.len());
+            held.extend_from_slice(&wire[at..end]);
+            at = end;
+        }
+    }
+
+    #[test]
+    fn a_chunk_split_at_every_byte_reads_alike() {
+        let wire = b"5;name=\"v\"\r\nlakes\r\n00a \r\n0123456789\r\n0;x\r\nEtag: 7\r\nHost: evil\r\n\r\nNEXT";
+        // A blank behind a size is refused, with an extension or without.
+        assert_eq!(read(Framing::Chunked, wire, &[9]), Err(BodyError::ChunkSize));
+        let wire = b"5;name=\"v\"\r\nlakes\r\n00a\r\n0123456789\r\n0;x\r\nEtag: 7\r\nHost: evil\r\n\r\nNEXT";
+        for piece in 1..=wire.len() {
+            let read = read(Framing::Chunked, wire, &[piece]).unwrap();
+            assert_eq!(read, (b"lakes0123456789".to_vec(), b"NEXT".to_vec(), true), "pieces of {piece}");
+        }
+        let mut decoder = Decoder::new(Framing::Chunked, 100).unwrap();
+        decoder.step(b"0\r\nEtag: 7\r\nHost: evil\r\nContent-Length: 3\r\n\r\n").unwrap();
+        assert_eq!(decoder.trailers(), b"Etag: 7\r\n");
+    }
+
+    #[test]
+    fn what_two_readers_could_read_differently_is_refused() {
+        for (wire, error) in [
+            (&b"x\r\n"[..], BodyError::ChunkSize),
+            (b"-1\r\n", BodyError::ChunkSize),
+            (b"+5\r\nlakes\r\n", BodyError::ChunkSize),
+            (b"0x5\r\nlakes\r\n", BodyError::ChunkSize),
+            (b"5\nlakes\r\n", BodyError::ChunkSize),
+            (b"\r\n5\r\nlakes\r\n", BodyError::ChunkSize),
+            (b" 5\r\nlakes\r\n", BodyError::ChunkSize),
+            (b"5\r \nlakes\r\n", BodyError::ChunkSize),
+            (b"5;a\rb\r\nlakes\r\n", BodyError::ChunkSize),
+            (b"fffffffffffffffff\r\n", BodyError::ChunkSize),
+            (b"ffffffffff\r\n", BodyError::TooLong),
+            (b"5\r\nlakes!\r\n", BodyError::ChunkEnd),
+            (b"5\r\nlakes\n", BodyError::ChunkEnd),
+            (b"0\r\nno colon\r\n\r\n", BodyError::Trailers),
+            (b"0\r\nA: b\n\r\n", BodyError::Trailers),
+        ] {
+            for piece in [1, 2, 64] {
+                let read = read(Framing::Chunked, wire, &[piece]);
+                assert_eq!(read, Err(error), "{:?}", String::from_utf8_lossy(wire));
+            }
+        }
+    }
+
+    #[test]
+    fn endless_extensions_and_trailers_are_refused() {
+        let long = [b"5;".as_slice(), &[b'a'; CHUNK_LINE]].concat();
+        assert_eq!(read(Framing::Chunked, &long, &[1]), Err(BodyError::Extension));
+        let many = b"1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n".repeat(400);
+        assert_eq!(read(Framing::Chunked, &many, &[7]), Err(BodyError::Extension));
+        let trailers = [b"0\r\n".as_slice(), &b"Etag: 7\r\n".repeat(TRAILERS / 9 + 1)].concat();
+        assert_eq!(read(Framing::Chunked, &trailers, &[1000]), Err(BodyError::Trailers));
+        assert_eq!(Decoder::new(Framing::Length(11), 10).err(), Some(BodyError::TooLong));
+    }
+
+    #[test]
+    fn a_body_cut_short_is_told_from_one_that_ends_with_its_connection() {
+        for (framing, whole) in
+            [(Framing::Length(9), false), (Framing::Chunked, false), (Framing::UntilClose, true)]
+        {
+            let mut decoder = Decoder::new(framing, 100).unwrap();
+            let step = decoder.step(b"5\r\nlake").unwrap();
+            decoder.took(step.payload);
+            assert_eq!(decoder.end(), whole, "{framing:?}");
+        }
+        assert_eq!(read(Framing::Length(5), b"lakesGET", &[3]).unwrap().1, b"GET");
+    }
+
+    proptest! {
+        /// Whatever comes, in whatever pieces: no panic, and the same reading however it is cut.
+        #[test]
+        fn any_bytes_read_alike_in_any_pieces(
+            wire in proptest::collection::vec(prop_oneof![Just(b'\r'), Just(b'\n'), Just(b'0'), Just(b'3'), Just(b';'), any::<u8>()], 0..80),
+            pieces in proptest::collection::vec(1usize..9, 1..9),
+        ) {
+            let whole = read(Framing::Chunked, &wire, &[80]);
+            let cut = read(Framing::Chunked, &wire, &pieces);
+            prop_assert_eq!(whole.is_ok(), cut.is_ok());
+            if let (Ok(whole), Ok(cut)) = (whole, cut) {
+                prop_assert_eq!(whole, cut);
+            }
+        }
+
+        /// What is written reads back.
+        #[test]
+        fn chunks_read_back(chunks in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..300), 0..9), piece in 1usize..50) {
+            let mut wire = Vec::new();
+            for chunk in &chunks {
+                wire.extend(chunk_head(chunk.len()));
+                wire.extend(chunk);
+                wire.extend(b"\r\n");
+            }
+            wire.extend(last_chunk(b"Etag: 1\r\n"));
+            prop_assert_eq!(read(Framing::Chunked, &wire, &[piece]).unwrap(), (chunks.concat(), Vec::new(), true));
+        }
+    }
+}
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -33,6 +33,8 @@
     pub closing: bool,
     /// The peer has asked that the next answer be the last.
     pub last: bool,
+    /// Bytes that the socket has taken since it was opened, of TLS those of its records.
+    pub sent: u64,
 }
 
 impl Conn {
@@ -69,21 +71,75 @@
             broken: false,
             closing: false,
             last: false,
+            sent: 0,
         }
     }
 
-    /// Moves bytes both ways as far as the socket lets them.
-    pub fn pump(&mut self) {
+    /// Looks whether it has come up. True once it can be read and written.
+    pub fn come_up(&mut self) -> bool {
         if self.connecting {
             match self.stream.take_error() {
                 Ok(None) if self.stream.peer_addr().is_ok() => self.connecting = false,
-                Ok(None) => return,
-                _ => {
-                    self.broken = true;
-                    return;
+                Ok(None) => {}
+                _ => self.broken = true,
+            }
+        }
+        !(self.connecting || self.broken)
+    }
+
+    /// Reads so many bytes at most, for a reader that is to take turns with others. True if more may be there: it
+    /// was not read up to the end, nor until it would have to wait. Not for TLS.
+    pub fn read_some(&mut self, most: usize) -> bool {
+        let mut left = most.min(self.rx.room());
+        while left > 0 && !self.eof && !self.broken {
+            let spare = self.rx.spare(left);
+            match (&*self.stream).read(spare) {
+                Ok(0) => self.eof = true,
+                Ok(n) => {
+                    self.rx.filled(n);
+                    // A short read may have the peer's end behind it, which is not told again: read on.
+                    left -= n;
                 }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => self.broken = true,
+            }
+        }
+        !(self.eof || self.broken)
+    }
+
+    /// Writes bytes past the buffer, which must be empty, and tells how many the socket took. Not for TLS.
+    pub fn write_some(&mut self, bytes: &[u8]) -> usize {
+        let mut taken = 0;
+        while taken < bytes.len() && !self.broken {
+            match (&*self.stream).write(&bytes[taken..]) {
+                Ok(n) if n > 0 => taken += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => self.broken = true,
             }
         }
+        self.sent += taken as u64;
+        taken
+    }
+
+    /// Writes what is queued as far as the socket takes it.
+    pub fn write_queued(&mut self) {
+        if !self.broken && self.flush().is_err() {
+            self.broken = true;
+        }
+    }
+
+    /// Has the peer see a break and not an end, for a message whose end only the connection's end would tell.
+    pub fn break_off(&self) {
+        let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
+    }
+
+    /// Moves bytes both ways as far as the socket lets them.
+    pub fn pump(&mut self) {
+        if !self.come_up() {
+            return;
+        }
         // With TLS what is read may call for something to be written, as in the handshake.
         let done = self.flush().and_then(|()| self.fill()).and_then(|()| self.flush());
         if done.is_err() {
@@ -143,7 +199,7 @@
                 match tls.write_tls(&mut &*self.stream) {
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                    written => drop(written?),
+                    written => self.sent += written? as u64,
                 }
             }
             return Ok(());
@@ -151,7 +207,10 @@
         while !self.tx.is_empty() {
             match (&*self.stream).write(self.tx.front()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.tx.consume(n),
+                Ok(n) => {
+                    self.sent += n as u64;
+                    self.tx.consume(n);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
--- /dev/null
+++ b/src/net/head.rs
@@ -0,0 +1,244 @@
+//! Heads of HTTP/1.1 messages that are relayed: read off a buffer without their bodies, and written anew for the next
+//! hop (RFC 9110, section 7.6; RFC 9112, sections 3 and 6).
+
+use super::Ring;
+use super::body::Framing;
+use super::http::{Bad, HEADERS, closes, head, owned};
+
+/// Headers of one hop, which are never passed on. `Expect` is passed on, as the server may answer it.
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+];
+
+/// Headers by name and value.
+pub type Headers = Vec<(String, String)>;
+
+/// A request's head.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// The method.
+    pub method: String,
+    /// The target, in origin form.
+    pub target: String,
+    /// All its headers.
+    pub headers: Headers,
+    /// How its body is delimited.
+    pub framing: Framing,
+    /// The client wants no further message on the connection.
+    pub close: bool,
+    /// It is of HTTP/1.0: no chunks and no interim answers are understood.
+    pub old: bool,
+}
+
+/// An answer's head.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: u16,
+    /// All its headers.
+    pub headers: Headers,
+    /// How its body is delimited.
+    pub framing: Framing,
+    /// The server wants no further message on the connection.
+    pub close: bool,
+}
+
+/// A header's value.
+pub fn value<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+}
+
+fn values<'a>(headers: &'a Headers, name: &'a str) -> impl Iterator<Item = &'a str> {
+    headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+}
+
+/// Takes a request's head off the buffer, if it is whole.
+///
+/// Refused, since two readers could see different messages in it: a length beside a transfer coding, two lengths, one
+/// that is no plain number, a coding other than `chunked`, a coding in HTTP/1.0, no or two `Host`s.
+pub fn request(ring: &mut Ring) -> Result<Option<RequestHead>, Bad> {
+    let mut lines = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Request::new(&mut lines);
+    let bytes = ring.bytes();
+    let Some(length) = head(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
+    let headers = owned(parsed.headers)?;
+    let old = parsed.version == Some(0);
+    let target = parsed.path.unwrap_or("").to_string();
+    if !(target.starts_with('/') || target == "*") {
+        return Err(Bad::Malformed);
+    }
+    if values(&headers, "host").count() != 1 && !(old && value(&headers, "host").is_none()) {
+        return Err(Bad::Malformed);
+    }
+    let read = RequestHead {
+        method: parsed.method.unwrap_or("").to_string(),
+        target,
+        framing: framing(&headers, old)?.unwrap_or(Framing::Empty),
+        close: closes(&headers, parsed.version),
+        headers,
+        old,
+    };
+    ring.consume(length);
+    Ok(Some(read))
+}
+
+/// Takes an answer's head off the buffer, if it is whole; `to_head` tells that it answers a HEAD.
+pub fn answer(ring: &mut Ring, to_head: bool) -> Result<Option<AnswerHead>, Bad> {
+    let mut lines = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Response::new(&mut lines);
+    let bytes = ring.bytes();
+    let Some(length) = head(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
+    let (status, headers) = (parsed.code.unwrap_or(0), owned(parsed.headers)?);
+    let stated = framing(&headers, parsed.version == Some(0))?;
+    let framing = match stated {
+        _ if to_head || status < 200 || matches!(status, 204 | 304) => Framing::Empty,
+        Some(framing) => framing,
+        None => Framing::UntilClose,
+    };
+    let close = closes(&headers, parsed.version) || framing == Framing::UntilClose;
+    ring.consume(length);
+    Ok(Some(AnswerHead { status, headers, framing, close }))
+}
+
+fn framing(headers: &Headers, old: bool) -> Result<Option<Framing>, Bad> {
+    let mut codings = values(headers, "transfer-encoding");
+    let mut lengths = values(headers, "content-length");
+    match (codings.next(), lengths.next()) {
+        (None, None) => Ok(None),
+        (Some(coding), None) if codings.next().is_none() && !old => {
+            if coding.eq_ignore_ascii_case("chunked") {
+                Ok(Some(Framing::Chunked))
+            } else {
+                Err(Bad::Unsupported)
+            }
+        }
+        (None, Some(length)) if lengths.next().is_none() => {
+            let plain = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
+            let length = if plain { length.parse().map_err(|_| Bad::TooLarge) } else { Err(Bad::Malformed) };
+            Ok(Some(Framing::Length(length?)))
+        }
+        _ => Err(Bad::Malformed),
+    }
+}
+
+/// Headers that go on to the next hop: all but those of one hop and those that `Connection` names.
+pub fn onward(headers: &Headers) -> impl Iterator<Item = &(String, String)> {
+    let named: Vec<String> = values(headers, "connection")
+        .flat_map(|v| v.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    headers.iter().filter(move |(name, _)| {
+        let name = name.to_ascii_lowercase();
+        !HOP.contains(&name.as_str()) && !named.contains(&name)
+    })
+}
+
+/// Writes a request's head for the next hop, over a connection that is kept.
+pub fn write_request(request: &RequestHead, framing: Framing) -> Vec<u8> {
+    let mut out = format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
+    put(&mut out, onward(&request.headers), framing);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// Writes an answer's head for the client. `length` is told where no body follows but one is spoken of: to HEAD.
+pub fn write_answer(answer: &AnswerHead, framing: Framing, spoken_of: Option<u64>, close: bool) -> Vec<u8> {
+    let reason = super::http::reason(answer.status);
+    let mut out = format!("HTTP/1.1 {} {reason}\r\n", answer.status).into_bytes();
+    put(&mut out, onward(&answer.headers), framing);
+    if let Some(length) = spoken_of {
+        out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    } else if framing == Framing::Empty && !(answer.status < 200 || matches!(answer.status, 204 | 304)) {
+        out.extend_from_slice(b"Content-Length: 0\r\n");
+    }
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+fn put<'a>(out: &mut Vec<u8>, headers: impl Iterator<Item = &'a (String, String)>, framing: Framing) {
+    for (name, value) in headers {
+        out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    match framing {
+        Framing::Length(length) => out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes()),
+        Framing::Chunked => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        Framing::Empty | Framing::UntilClose => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Option<RequestHead>, Bad> {
+        let mut ring = Ring::new(1 << 16);
+        ring.push(text.as_bytes());
+        request(&mut ring)
+    }
+
+    #[test]
+    fn smuggling_shapes_are_refused() {
+        for lines in [
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+            "Content-Length: 3\r\nContent-Length: 3\r\n",
+            "Content-Length: 3, 3\r\n",
+            "Content-Length: +3\r\n",
+            "Content-Length: 0x3\r\n",
+            "Content-Length:\r\n",
+            "Content-Length : 3\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked, identity\r\n",
+            "Transfer-Encoding: xchunked\r\n",
+            "Transfer-Encoding:\u{b}chunked\r\n",
+            " Transfer-Encoding: chunked\r\n",
+            "Host: b\r\n",
+        ] {
+            let text = format!("POST /export/x HTTP/1.1\r\nHost: a\r\n{lines}\r\n");
+            assert!(read(&text).is_err(), "{lines:?}");
+        }
+        assert!(read("POST /x HTTP/1.1\r\n\r\n").is_err(), "no host");
+        assert!(read("POST http://a/x HTTP/1.1\r\nHost: a\r\n\r\n").is_err(), "not in origin form");
+        assert!(read("POST /x HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n").is_err(), "chunks in 1.0");
+    }
+
+    #[test]
+    fn headers_of_one_hop_stay_behind() {
+        let text = "PUT /x HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, X-Here\r\nX-Here: 1\r\nX-There: 2\r\n\
+                    TE: trailers\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let head = read(text).unwrap().unwrap();
+        assert_eq!(head.framing, Framing::Chunked);
+        let out = String::from_utf8(write_request(&head, Framing::Length(7))).unwrap();
+        let wanted =
+            "PUT /x HTTP/1.1\r\nHost: a\r\nX-There: 2\r\nExpect: 100-continue\r\nContent-Length: 7\r\n\r\n";
+        assert_eq!(out, wanted);
+    }
+
+    #[test]
+    fn answers_without_a_body_are_known() {
+        let read = |text: &str, to_head| {
+            let mut ring = Ring::new(1 << 16);
+            ring.push(text.as_bytes());
+            answer(&mut ring, to_head).unwrap().unwrap()
+        };
+        assert_eq!(read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true).framing, Framing::Empty);
+        assert_eq!(
+            read("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", false).framing,
+            Framing::Empty
+        );
+        assert_eq!(read("HTTP/1.1 103 Early Hints\r\n\r\n", false).framing, Framing::Empty);
+        let until = read("HTTP/1.0 200 OK\r\n\r\n", false);
+        assert_eq!((until.framing, until.close), (Framing::UntilClose, true));
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,12 +1,13 @@
 //! HTTP/1.1 messages on top of httparse: whole requests and answers out of a ring buffer.
 
 use super::Ring;
+use super::head::{Headers, value};
 
 /// Longest head that is read.
 pub const HEAD: usize = 16 * 1024;
 /// Longest body that is read.
 pub const BODY: usize = 64 * 1024;
-const HEADERS: usize = 64;
+pub(super) const HEADERS: usize = 64;
 
 /// Why a message cannot be read, as the status that says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +30,7 @@
     /// An answer's status.
     pub status: u16,
     /// Names and values of its headers.
-    pub headers: Vec<(String, String)>,
+    pub headers: Headers,
     /// Its body.
     pub body: Vec<u8>,
     /// The connection ends after it.
@@ -39,7 +40,7 @@
 impl Message {
     /// A header's value.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        value(&self.headers, name)
     }
 }
 
@@ -55,7 +56,7 @@
         headers: owned(parsed.headers)?,
         ..Message::default()
     };
-    message.close = closes(&message, parsed.version);
+    message.close = closes(&message.headers, parsed.version);
     let length = length(&message)?.unwrap_or(0);
     if bytes.len() < head + length {
         return Ok(None);
@@ -78,7 +79,7 @@
             continue;
         }
         let mut message = Message { status, headers: owned(parsed.headers)?, ..Message::default() };
-        message.close = closes(&message, parsed.version);
+        message.close = closes(&message.headers, parsed.version);
         let length = match length(&message)? {
             _ if status == 204 || status == 304 => 0,
             Some(length) => length,
@@ -96,7 +97,7 @@
 }
 
 /// The length of a head that was parsed out of so many bytes, if it is whole.
-fn head(parsed: httparse::Result<usize>, bytes: usize) -> Result<Option<usize>, Bad> {
+pub(super) fn head(parsed: httparse::Result<usize>, bytes: usize) -> Result<Option<usize>, Bad> {
     match parsed {
         Ok(httparse::Status::Complete(head)) if head <= HEAD => Ok(Some(head)),
         Ok(httparse::Status::Partial) if bytes <= HEAD => Ok(None),
@@ -105,7 +106,7 @@
     }
 }
 
-fn owned(headers: &[httparse::Header<'_>]) -> Result<Vec<(String, String)>, Bad> {
+pub(super) fn owned(headers: &[httparse::Header<'_>]) -> Result<Vec<(String, String)>, Bad> {
     let one = |h: &httparse::Header<'_>| {
         let value = std::str::from_utf8(h.value).map_err(|_| Bad::Malformed)?;
         Ok((h.name.to_string(), value.trim().to_string()))
@@ -113,8 +114,8 @@
     headers.iter().map(one).collect()
 }
 
-fn closes(message: &Message, version: Option<u8>) -> bool {
-    let connection = message.header("connection").unwrap_or("").to_ascii_lowercase();
+pub(super) fn closes(headers: &Headers, version: Option<u8>) -> bool {
+    let connection = value(headers, "connection").unwrap_or("").to_ascii_lowercase();
     connection.contains("close") || version == Some(0) && !connection.contains("keep-alive")
 }
 
@@ -135,21 +136,34 @@
     }
 }
 
-/// Writes an answer.
-pub fn answer(status: u16, headers: &[(&str, String)], body: &[u8], close: bool) -> Vec<u8> {
-    let reason = match status {
+/// The words that go with a status; they tell nothing to a program.
+pub(super) fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
         200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
         204 => "No Content",
+        206 => "Partial Content",
+        304 => "Not Modified",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        417 => "Expectation Failed",
         500 => "Internal Server Error",
         501 => "Not Implemented",
+        502 => "Bad Gateway",
         503 => "Service Unavailable",
+        504 => "Gateway Timeout",
         _ => "",
-    };
+    }
+}
+
+/// Writes an answer.
+pub fn answer(status: u16, headers: &[(&str, String)], body: &[u8], close: bool) -> Vec<u8> {
+    let reason = reason(status);
     let mut out = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
     finish(&mut out, headers, (status != 204).then_some(body), close);
     out
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,9 @@
 //! Sockets: connections with their buffers, listeners, the pool, the descriptor budget. No protocol.
 
+pub mod body;
 mod budget;
 mod conn;
+pub mod head;
 pub mod http;
 mod pool;
 mod ring;
--- a/src/net/ring.rs
+++ b/src/net/ring.rs
@@ -1,62 +1,155 @@
 //! A ring buffer with a bound, one a direction of a connection.
 
-use std::collections::VecDeque;
-
 /// What an empty buffer keeps of its room.
 const KEPT: usize = 4096;
 
 /// Bytes in order, at most so many.
 pub struct Ring {
-    bytes: VecDeque<u8>,
+    /// All of it may be read into: it holds zeros or bytes that were dropped.
+    store: Vec<u8>,
+    head: usize,
+    len: usize,
     limit: usize,
+    kept: usize,
 }
 
 impl Ring {
     /// An empty buffer; room is made as bytes come.
     pub fn new(limit: usize) -> Ring {
-        Ring { bytes: VecDeque::new(), limit }
+        Ring { store: Vec::new(), head: 0, len: 0, limit, kept: KEPT }
+    }
+
+    /// Sets another bound, and what is kept of the room when it is empty. What it holds above the bound stays.
+    pub fn bound(&mut self, limit: usize, kept: usize) {
+        (self.limit, self.kept) = (limit, kept);
+        self.trim();
     }
 
     /// Bytes that still fit.
     pub fn room(&self) -> usize {
-        self.limit - self.bytes.len()
+        self.limit.saturating_sub(self.len)
     }
 
     /// Bytes held.
     pub fn len(&self) -> usize {
-        self.bytes.len()
+        self.len
     }
 
     /// True if it holds nothing.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.len == 0
     }
 
     /// Adds all of `bytes`, or nothing where they do not fit.
-    pub fn push(&mut self, bytes: &[u8]) -> bool {
-        let fits = bytes.len() <= self.room();
-        if fits {
-            self.bytes.extend(bytes);
+    pub fn push(&mut self, mut bytes: &[u8]) -> bool {
+        if bytes.len() > self.room() {
+            return false;
+        }
+        while !bytes.is_empty() {
+            let spare = self.spare(bytes.len());
+            let count = spare.len().min(bytes.len());
+            spare[..count].copy_from_slice(&bytes[..count]);
+            self.filled(count);
+            bytes = &bytes[count..];
+        }
+        true
+    }
+
+    /// A piece of free room of `most` bytes at most, to be written to; empty only where nothing fits. `filled` tells
+    /// how much of it was.
+    pub fn spare(&mut self, most: usize) -> &mut [u8] {
+        let most = most.min(self.room());
+        if self.len + most > self.store.len() {
+            self.make_contiguous();
+            let size = (self.len + most).next_power_of_two().min(self.limit.max(self.len + most));
+            self.store.resize(size, 0);
+        }
+        let size = self.store.len().max(1);
+        let tail = (self.head + self.len) % size;
+        let end = if tail < self.head { self.head } else { self.store.len() };
+        let end = end.min(tail + most);
+        &mut self.store[tail..end]
+    }
+
+    /// So many bytes of the spare room were written.
+    pub fn filled(&mut self, count: usize) {
+        self.len = (self.len + count).min(self.store.len());
+    }
+
+    fn make_contiguous(&mut self) {
+        if self.head + self.len > self.store.len() {
+            self.store.rotate_left(self.head);
+            self.head = 0;
         }
-        fits
     }
 
     /// All bytes, as one piece.
     pub fn bytes(&mut self) -> &[u8] {
-        self.bytes.make_contiguous()
+        self.make_contiguous();
+        &self.store[self.head..self.head + self.len]
     }
 
     /// The bytes up to where the buffer wraps.
     pub fn front(&self) -> &[u8] {
-        self.bytes.as_slices().0
+        &self.store[self.head..(self.head + self.len).min(self.store.len())]
     }
 
     /// Drops bytes off the front.
     pub fn consume(&mut self, count: usize) {
-        self.bytes.drain(..count);
-        // Guards against every connection keeping the room of its largest message for good.
-        if self.bytes.is_empty() && self.bytes.capacity() > KEPT {
-            self.bytes.shrink_to(KEPT);
+        let count = count.min(self.len);
+        self.len -= count;
+        self.head = if self.len == 0 { 0 } else { (self.head + count) % self.store.len() };
+        self.trim();
+    }
+
+    /// Guards against every connection keeping the room of its largest message for good.
+    fn trim(&mut self) {
+        if self.len == 0 && self.store.len() > self.kept {
+            self.store = Vec::new();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::VecDeque;
+
+    use proptest::prelude::*;
+
+    use super::*;
+
+    proptest! {
+        /// Whatever is pushed, filled and consumed in turn comes out in order, and never more than fits.
+        #[test]
+        fn it_is_a_queue(steps in proptest::collection::vec((0usize..5000, 0usize..5000, any::<bool>()), 1..60)) {
+            let (mut ring, mut model, mut next) = (Ring::new(10_000), VecDeque::new(), 0u8);
+            for (add, drop, direct) in steps {
+                if direct {
+                    let spare = ring.spare(add);
+                    for byte in spare.iter_mut() {
+                        (*byte, next) = (next, next.wrapping_add(7));
+                        model.push_back(*byte);
+                    }
+                    let count = spare.len();
+                    prop_assert!(count > 0 || add == 0 || ring.room() == 0);
+                    ring.filled(count);
+                } else {
+                    let bytes: Vec<u8> = (0..add).map(|i| (i as u8).wrapping_mul(31)).collect();
+                    let fits = add <= 10_000 - model.len();
+                    prop_assert_eq!(ring.push(&bytes), fits);
+                    model.extend(bytes.iter().filter(|_| fits));
+                }
+                prop_assert_eq!(ring.len(), model.len());
+                let front = ring.front().to_vec();
+                prop_assert!(front.iter().eq(model.iter().take(front.len())));
+                prop_assert!(!front.is_empty() || model.is_empty());
+                let drop = drop.min(model.len());
+                ring.consume(drop);
+                model.drain(..drop);
+                if drop % 3 == 0 {
+                    prop_assert!(ring.bytes().iter().eq(model.iter()));
+                }
+            }
         }
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -139,3 +139,20 @@
     }
     panic!("it is woken again and again and never ends the session");
 }
+
+/// Guards against a second run, or a second answer, once bytes of the first one are out; and against a deadline that
+/// cuts an answer which is still coming.
+#[test]
+fn a_session_whose_answer_has_begun_ends_as_its_dispatch_does() {
+    let (mut core, clock) = core(10, &["a", "b"]);
+    let id = core.request(request(0, 400.0)).unwrap();
+    assert_eq!(commands(&mut core).len(), 1);
+    assert!(core.streaming(id, 0));
+    clock.set(START + 5000.0);
+    core.tick();
+    assert_eq!(commands(&mut core), []);
+    core.ended(id, 0, Outcome::Reset, Report::default(), Vec::new());
+    assert_eq!(commands(&mut core), [Command::Answer { session: id, verdict: Verdict::Failed }]);
+    assert!(!core.streaming(id, 0), "it is over");
+    assert_eq!((core.open(), core.counters().sent), (0, 1));
+}
