--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod discovery;
 pub mod gearman;
+pub mod operator;
 pub mod platform;
+pub mod stream;
 
 use crate::core::{Clock, Core};
 use crate::json::{self, JsonValue, field};
@@ -10,6 +12,7 @@
 
 use gearman::Gearman;
 use platform::Platform;
+use stream::Stream;
 
 /// The sockets of the gateway.
 pub type Sockets = Net<Gateway>;
@@ -51,9 +54,13 @@
 
     /// A stop that begins now.
     pub fn begin(core: &mut Core) -> Leaving {
-        let now = core.clock().now();
         let longest = core.site().grades.iter().map(|g| g.hard_limit).fold(0.0, f64::max);
-        let end = longest.min(Leaving::LONGEST) + Leaving::MORE - Leaving::MARGIN;
+        Leaving::within(core, longest.min(Leaving::LONGEST) + Leaving::MORE - Leaving::MARGIN)
+    }
+
+    /// The same where a kill comes no sooner than `end` milliseconds after the signal.
+    pub fn within(core: &mut Core, end: f64) -> Leaving {
+        let now = core.clock().now();
         let serves = Leaving::SERVES.min(end / 2.0);
         core.hurry(now + Leaving::MORE - Leaving::MARGIN, now + end);
         Leaving { last_call: now + serves, quiet: None }
@@ -66,23 +73,44 @@
     pub config: Option<String>,
     /// The operator's file of Gearman's front.
     pub gearman: Option<String>,
+    /// The operator's file of all fronts.
+    pub operator: Option<String>,
+}
+
+/// What the files say, a front each.
+pub struct Configs {
+    /// The platform's.
+    pub platform: Option<platform::Config>,
+    /// Gearman's.
+    pub gearman: Option<gearman::Config>,
+    /// The stream front's.
+    pub stream: Option<stream::Config>,
 }
 
 impl Files {
-    /// Reads those there are. What Gearman's connections may take is not the platform's to give out.
-    pub fn read(&self) -> Result<(Option<platform::Config>, Option<gearman::Config>), String> {
+    /// Reads those there are. What the connections of other fronts may take is not the platform's to give out.
+    pub fn read(&self) -> Result<Configs, String> {
         let config = self.config.as_deref().map(load).transpose()?;
         let settings = config.as_ref().and_then(|c| field(c, "settings"));
-        let gearman = self
-            .gearman
-            .as_ref()
-            .map(|path| gearman::Config::read(&load(path)?, settings).map_err(|e| format!("{path}: {e}")));
+        let operator = self.operator.as_ref().map(|path| operator::read(path.as_ref()));
+        let operator = operator.transpose().map_err(|e| e.to_string())?;
+        let (table, stream) = operator.map_or((None, None), |o| (o.gearman, o.stream));
+        let path = self.gearman.as_ref().or(self.operator.as_ref());
+        let file = match (&self.gearman, table) {
+            (Some(path), Some(_)) => return Err(format!("{path}: Gearman is set up in two files")),
+            (Some(path), None) => Some(load(path)?),
+            (None, table) => table,
+        };
+        let gearman = file
+            .zip(path)
+            .map(|(file, path)| gearman::Config::read(&file, settings).map_err(|e| format!("{path}: {e}")));
         let gearman = gearman.transpose()?;
         let taken = gearman.as_ref().map_or(0, |g| g.peers);
+        let taken = taken + stream.as_ref().map_or(0, stream::Stream::descriptors);
         let platform = config
             .zip(self.config.as_ref())
             .map(|(config, path)| platform::Config::read(&config, taken).map_err(|e| format!("{path}: {e}")));
-        Ok((platform.transpose()?, gearman))
+        Ok(Configs { platform: platform.transpose()?, gearman, stream })
     }
 }
 
@@ -99,6 +127,8 @@
     pub platform: Option<Platform>,
     /// Gearman's front, where it is set up.
     pub gearman: Option<Gearman>,
+    /// The stream front, where it is set up.
+    pub stream: Option<Stream>,
     /// The clock.
     pub clock: Clock,
     /// The files that its settings come from.
@@ -114,12 +144,16 @@
         if let Some(front) = &mut self.gearman {
             front.tick(&mut self.net);
         }
+        if let Some(front) = &mut self.stream {
+            front.tick(&mut self.net);
+        }
     }
 
     /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
         let platform = self.platform.as_ref().map_or(f64::INFINITY, Platform::next);
-        platform.min(self.gearman.as_ref().map_or(f64::INFINITY, Gearman::next))
+        let gearman = self.gearman.as_ref().map_or(f64::INFINITY, Gearman::next);
+        platform.min(gearman).min(self.stream.as_ref().map_or(f64::INFINITY, Stream::next))
     }
 
     /// Begins to stop: what was taken is finished, and nothing new is taken after a short while.
@@ -130,23 +164,33 @@
         if let Some(front) = &mut self.gearman {
             front.stop();
         }
+        if let Some(front) = &mut self.stream {
+            front.stop();
+        }
     }
 
     /// Reads the files again and takes their settings over; what is in flight goes on. An error leaves all
     /// settings in force as they are.
     pub fn reload(&mut self) -> Result<(), String> {
-        let (config, file) = self.files.read()?;
-        // Both must fit before either is taken over.
+        let Configs { platform: config, gearman: file, stream } = self.files.read()?;
+        // All must fit before any is taken over.
         let of = |files: &Option<String>| files.clone().unwrap_or_default();
         if let (Some(front), Some(config)) = (&self.platform, &config) {
             front.fits(config).map_err(|e| format!("{}: {e}", of(&self.files.config)))?;
         }
         let identity = match (&self.gearman, &file) {
             (Some(front), Some(file)) => {
-                front.fits(file).map_err(|e| format!("{}: {e}", of(&self.files.gearman)))?
+                let path = self.files.gearman.as_ref().or(self.files.operator.as_ref());
+                front.fits(file).map_err(|e| format!("{}: {e}", path.cloned().unwrap_or_default()))?
             }
             _ => None,
         };
+        if let (Some(front), Some(config)) = (&self.stream, &stream) {
+            front.fits(config).map_err(|e| format!("{}: {e}", of(&self.files.operator)))?;
+        }
+        if let (Some(front), Some(config)) = (&mut self.stream, stream) {
+            front.reload(&mut self.net, config);
+        }
         if let (Some(front), Some(config)) = (&mut self.platform, config) {
             front.reload(&mut self.net, config);
         }
@@ -159,31 +203,39 @@
     /// Whether it has stopped.
     pub fn stopped(&mut self) -> bool {
         let platform = self.platform.as_mut().is_none_or(|front| front.stopped(&mut self.net));
-        platform && self.gearman.as_mut().is_none_or(|front| front.stopped(&mut self.net))
+        let gearman = self.gearman.as_mut().is_none_or(|front| front.stopped(&mut self.net));
+        platform && gearman && self.stream.as_mut().is_none_or(|front| front.stopped(&mut self.net))
     }
 
     /// The counters of all fronts.
     pub fn counters(&self) -> String {
         let platform = self.platform.as_ref().map(|f| format!("platform\n{}", f.core().counters()));
         let gearman = self.gearman.as_ref().map(|f| format!("gearman\n{}", f.core().counters()));
-        platform.unwrap_or_default() + &gearman.unwrap_or_default()
+        let stream = self.stream.as_ref().map(|f| format!("stream\n{}", f.counters()));
+        platform.unwrap_or_default() + &gearman.unwrap_or_default() + &stream.unwrap_or_default()
     }
 }
 
 impl Handler for Gateway {
     fn ready(&mut self, conn: ConnId) {
-        match (&mut self.platform, &mut self.gearman) {
-            (Some(front), _) if front.owns(conn) => front.ready(&mut self.net, conn),
-            (_, Some(front)) => front.ready(&mut self.net, conn),
-            _ => {}
+        let (platform, stream) = (&mut self.platform, &mut self.stream);
+        if let Some(front) = platform.as_mut().filter(|front| front.owns(conn)) {
+            front.ready(&mut self.net, conn);
+        } else if let Some(front) = stream.as_mut().filter(|front| front.owns(conn)) {
+            front.ready(&mut self.net, conn);
+        } else if let Some(front) = &mut self.gearman {
+            front.ready(&mut self.net, conn);
         }
     }
 
     fn waiting(&mut self, listener: usize) {
-        match (&mut self.platform, &mut self.gearman) {
-            (Some(front), _) if front.listener() == listener => front.accept(&mut self.net),
-            (_, Some(front)) => front.accept(&mut self.net),
-            _ => {}
+        let (platform, stream) = (&mut self.platform, &mut self.stream);
+        if let Some(front) = platform.as_mut().filter(|front| front.listener() == listener) {
+            front.accept(&mut self.net);
+        } else if let Some(front) = stream.as_mut().filter(|front| front.listener() == listener) {
+            front.accept(&mut self.net);
+        } else if let Some(front) = &mut self.gearman {
+            front.accept(&mut self.net);
         }
     }
 }
--- /dev/null
+++ b/src/front/operator.rs
@@ -0,0 +1,186 @@
+//! The operator's own file: TOML, a table a front, no key that is not known.
+
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use super::stream;
+use crate::json::JsonValue;
+
+/// Why the file cannot be used.
+#[derive(Debug, Error)]
+pub enum FileError {
+    /// It cannot be read.
+    #[error("{file}: {cause}")]
+    Read {
+        /// Its path.
+        file: String,
+        /// Why.
+        cause: std::io::Error,
+    },
+    /// It is no TOML, or has a key or a value that does not belong there; the text shows where.
+    #[error("{file}: {cause}")]
+    Parse {
+        /// Its path.
+        file: String,
+        /// Where, and what was expected.
+        cause: toml::de::Error,
+    },
+    /// Its figures do not fit.
+    #[error("{file}: {}", list(.errors))]
+    Stream {
+        /// Its path.
+        file: String,
+        /// All that is wrong.
+        errors: Vec<stream::ConfigError>,
+    },
+    /// It has no front's table.
+    #[error("{file}: neither [gearman] nor [stream]: there is nothing to set up")]
+    Empty {
+        /// Its path.
+        file: String,
+    },
+}
+
+fn list(errors: &[stream::ConfigError]) -> String {
+    errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+}
+
+/// What the file sets up.
+pub struct Operator {
+    /// Gearman's table, as its front reads it.
+    pub gearman: Option<JsonValue>,
+    /// The stream front's.
+    pub stream: Option<stream::Config>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    gearman: Option<GearmanTable>,
+    stream: Option<stream::Table>,
+}
+
+/// The keys that Gearman's table may have; its front reads their values.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+#[expect(dead_code, reason = "read to refuse other keys and types")]
+struct GearmanTable {
+    listen: String,
+    peers: Option<u32>,
+    settings: Option<toml::Table>,
+    functions: std::collections::BTreeMap<String, FunctionTable>,
+    record: Option<RecordTable>,
+    identity: Option<IdentityTable>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+#[expect(dead_code, reason = "read to refuse other keys and types")]
+struct FunctionTable {
+    class: String,
+    tenant: Option<String>,
+    kind: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+#[expect(dead_code, reason = "read to refuse other keys and types")]
+struct RecordTable {
+    entries: Option<u32>,
+    bytes: Option<u64>,
+    keep_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+#[expect(dead_code, reason = "read to refuse other keys and types")]
+struct IdentityTable {
+    certificate: String,
+    key: String,
+    bundle: String,
+    trust_domain: String,
+    clients: Option<std::collections::BTreeMap<String, String>>,
+    workers: Option<Vec<String>>,
+}
+
+/// Reads the file, and checks all of it but what Gearman's front checks itself.
+pub fn read(path: &Path) -> Result<Operator, FileError> {
+    let file = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|cause| FileError::Read { file: file.clone(), cause })?;
+    parse(&file, &text)
+}
+
+fn parse(file: &str, text: &str) -> Result<Operator, FileError> {
+    let parse = |cause| FileError::Parse { file: file.into(), cause };
+    let known: File = toml::from_str(text).map_err(parse)?;
+    let mut whole: toml::Table = toml::from_str(text).map_err(parse)?;
+    if known.gearman.is_none() && known.stream.is_none() {
+        return Err(FileError::Empty { file: file.into() });
+    }
+    let stream = known.stream.map(stream::Table::check).transpose();
+    let stream = stream.map_err(|errors| FileError::Stream { file: file.into(), errors })?;
+    Ok(Operator { gearman: whole.remove("gearman").map(json), stream })
+}
+
+/// A value of TOML as one of JSON; a date becomes its text. The parser of TOML bounds its nesting.
+fn json(value: toml::Value) -> JsonValue {
+    match value {
+        toml::Value::String(text) => JsonValue::String(text),
+        toml::Value::Integer(number) => JsonValue::Number(number as f64),
+        toml::Value::Float(number) => JsonValue::Number(number),
+        toml::Value::Boolean(flag) => JsonValue::Boolean(flag),
+        toml::Value::Datetime(date) => JsonValue::String(date.to_string()),
+        toml::Value::Array(list) => JsonValue::Array(list.into_iter().map(json).collect()),
+        toml::Value::Table(table) => {
+            JsonValue::Object(table.into_iter().map(|(name, value)| (name, json(value))).collect())
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "[stream]\nlisten = \"127.0.0.1:0\"\nservers = [{name = \"a\", dial = \"127.0.0.1:1\"}]\n\
+                        [[stream.class]]\nname = \"export\"\nrepeat = \"safe\"\n";
+
+    #[test]
+    fn a_file_with_anything_wrong_is_refused_with_what_it_is() {
+        assert!(parse("f", GOOD).unwrap().stream.is_some());
+        for (from, to, says) in [
+            ("listen", "listens", "unknown field `listens`"),
+            ("repeat = \"safe\"", "repeat = \"often\"", "unknown variant `often`"),
+            ("repeat = \"safe\"", "", "missing field `repeat`"),
+            ("repeat = \"safe\"", "repeat = \"safe\"\nhold_kb = 65", "`class.export.hold_kb` is 65"),
+            ("repeat = \"safe\"", "repeat = \"safe\"\nwindow_kb = 1", "`class.export.window_kb` is 1"),
+            ("\"export\"", "\"ex/port\"", "cannot stand in a path"),
+            ("servers", "discovery = \"127.0.0.1:2\"\nservers", "give either"),
+            ("[stream]", "[stream]\nmemory_mb = 8", "256 streams with 72 KiB each"),
+            ("[stream]", "[stream]\nattempts = 6", "`attempts` is 6"),
+            ("[stream]", "[stream]\nmemory_mb = nan", "`memory_mb` is NaN"),
+            ("[stream]", "[streams]", "unknown field `streams`"),
+            ("[stream]", "[stream", "f: TOML parse error at line 1"),
+        ] {
+            let text = GOOD.replace(from, to);
+            let error = parse("f", &text).err().expect(says).to_string();
+            assert!(error.contains(says), "{says}: {error}");
+        }
+        let both =
+            parse("f", &GOOD.replace("[stream]", "[stream]\nattempts = 6\nturn_kb = 1")).err().unwrap();
+        assert_eq!(both.to_string().lines().count(), 2, "{both}");
+    }
+
+    #[test]
+    fn gearman_s_table_is_what_its_json_file_is() {
+        let text = "[gearman]\nlisten = \"127.0.0.1:0\"\n[gearman.functions]\n\
+                    hold = {class = \"site-hold\", tenant = \"fraser-parks\"}\n[gearman.record]\nentries = 10\n";
+        let json = parse("f", text).unwrap().gearman.unwrap();
+        let same = r#"{"listen": "127.0.0.1:0", "record": {"entries": 10},
+            "functions": {"hold": {"class": "site-hold", "tenant": "fraser-parks"}}}"#;
+        assert_eq!(json, crate::json::parse(same.as_bytes()).unwrap());
+        assert!(parse("f", &text.replace("entries", "entrys")).is_err());
+    }
+}
--- /dev/null
+++ b/src/front/stream/clients.rs
@@ -0,0 +1,301 @@
+//! Clients: their connections and heads, what is refused before it is taken, and answers of the front's own.
+
+use super::Stream;
+use super::relay::{Exchange, Up};
+use crate::flow::{Dispatch, Hold, StreamId, Way};
+use crate::front::Sockets;
+use crate::net::body::{BodyError, Decoder};
+use crate::net::head::{self, RequestHead};
+use crate::net::http::{self, Bad, HEAD};
+use crate::net::{ConnId, HELD};
+
+/// How long the end of a connection waits for the peer to end its side, in milliseconds.
+const LINGER: f64 = 1000.0;
+/// Bytes of a refused request that are read and dropped at once, lest they keep its client from its answer.
+const DRAINED: usize = 1 << 20;
+/// Methods that are not passed on: they ask for a tunnel, or for this very message back with its secrets.
+const REFUSED: [&str; 2] = ["CONNECT", "TRACE"];
+
+/// What a client's connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    /// Between requests.
+    Idle,
+    /// Some of a head has come.
+    Head,
+    /// A stream has it.
+    Busy(StreamId),
+    /// Its last answer is out or on its way; what it still sends is dropped.
+    Ending,
+}
+
+/// A connection that was accepted.
+pub(super) struct Client {
+    at: At,
+    /// When it is over, for what it is at.
+    pub until: f64,
+}
+
+impl Client {
+    pub fn stream(&self) -> Option<StreamId> {
+        match self.at {
+            At::Busy(stream) => Some(stream),
+            _ => None,
+        }
+    }
+}
+
+impl Stream {
+    /// Accepts what waits. At the bound the connection that has been idle longest makes room.
+    pub fn accept(&mut self, net: &mut Sockets) {
+        for _ in 0..64 {
+            if self.clients.len() >= self.config.table.connections {
+                let idle = self.clients.iter().filter(|(_, c)| c.at == At::Idle);
+                let Some((&idle, _)) = idle.min_by(|a, b| a.1.until.total_cmp(&b.1.until)) else { return };
+                // What has come by now is taken or refused first.
+                self.client_ready(net, idle);
+                if self.clients.get(&idle).is_some_and(|c| c.at == At::Idle) {
+                    self.drop_client(net, idle);
+                }
+                if self.clients.len() >= self.config.table.connections {
+                    return;
+                }
+            }
+            let Some(id) = net.accept(self.listener) else { return };
+            let until = self.now() + self.config.table.head_s * 1e3;
+            self.clients.insert(id, Client { at: At::Idle, until });
+        }
+    }
+
+    pub(super) fn client_ready(&mut self, net: &mut Sockets, id: ConnId) {
+        let now = self.now();
+        let Some(at) = self.clients.get(&id).map(|c| c.at) else { return };
+        let Some(conn) = net.conn(id) else { return };
+        match at {
+            At::Busy(stream) => {
+                // While nobody reads it, only this tells that it is gone.
+                if conn.is_reset() {
+                    return self.client_gone(net, stream);
+                }
+                self.flow.readable(stream, Way::Up, now);
+                self.flow.writable(stream, Way::Down, now);
+            }
+            At::Ending => self.drain(net, id),
+            At::Idle | At::Head => self.read_head(net, id),
+        }
+    }
+
+    fn read_head(&mut self, net: &mut Sockets, id: ConnId) {
+        let now = self.now();
+        loop {
+            let Some(conn) = net.conn(id) else { return };
+            conn.write_queued();
+            let more = conn.read_some((HEAD + 1).saturating_sub(conn.rx.len()));
+            // Empty lines before a request are passed over (RFC 9112, 2.2).
+            while conn.rx.front().starts_with(b"\r\n") {
+                conn.rx.consume(2);
+            }
+            let (gone, begun) = (conn.eof || conn.broken, !conn.rx.is_empty());
+            let read = head::request(&mut conn.rx);
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            if begun && client.at == At::Idle {
+                (client.at, client.until) = (At::Head, now + self.config.table.head_s * 1e3);
+            }
+            return match read {
+                Ok(Some(head)) => self.request(net, id, head),
+                Ok(None) if gone => self.drop_client(net, id),
+                Ok(None) if more => continue,
+                Ok(None) => {}
+                Err(bad) => {
+                    let status = match bad {
+                        Bad::Malformed => 400,
+                        Bad::TooLarge => 413,
+                        Bad::Unsupported => 501,
+                    };
+                    self.turn_away(net, id, status, "the request does not read\n");
+                }
+            };
+        }
+    }
+
+    /// Answers a request that was not taken, and ends the connection: what comes behind its head is not read.
+    fn turn_away(&mut self, net: &mut Sockets, id: ConnId, status: u16, why: &str) {
+        self.counters.unread += 1;
+        self.reply(net, id, status, 0.0, why, true);
+    }
+
+    fn request(&mut self, net: &mut Sockets, id: ConnId, head: RequestHead) {
+        let now = self.now();
+        let name = head.target.split(['/', '?']).nth(1).unwrap_or("");
+        let Some(class) = self.config.table.class.iter().position(|c| c.name == name) else {
+            return self.turn_away(net, id, 404, "no such class\n");
+        };
+        if REFUSED.contains(&head.method.as_str()) {
+            return self.turn_away(net, id, 405, "no such method here\n");
+        }
+        let of = &self.config.classes[class];
+        let up = match Decoder::new(head.framing, of.body) {
+            Ok(up) => up,
+            Err(BodyError::TooLong) => {
+                return self.turn_away(net, id, 413, "the body is longer than its class allows\n");
+            }
+            Err(_) => return self.turn_away(net, id, 400, "the body does not read\n"),
+        };
+        let tenant = head::value(&head.headers, &self.config.table.tenant_header).unwrap_or("").to_string();
+        if self.closes() {
+            return self.reply(net, id, 503, 0.0, "stopping\n", true);
+        }
+        if let Err(full) = self.admission.enter(&tenant) {
+            self.counters.full += 1;
+            let close = !up.is_done();
+            let advice = self.config.table.retry_after_s * 1e3;
+            return self.reply(net, id, 503, advice, &format!("{full}\n"), close);
+        }
+        // The server is to say whether it wants the body: there is nothing to hold back for.
+        let asks = head::value(&head.headers, "expect").is_some();
+        let when = if asks { Dispatch::Head } else { of.dispatch };
+        let hold = Hold::new(when, of.hold, of.allowance.pace.least, now);
+        let (of, close) = (of.clone(), head.close);
+        self.last += 1;
+        let stream = self.last;
+        self.flow.open(stream, of.allowance);
+        if let Some(client) = self.clients.get_mut(&id) {
+            (client.at, client.until) = (At::Busy(stream), f64::INFINITY);
+        }
+        if let Some(conn) = net.conn(id) {
+            // What a window lets in beside what came with the head.
+            let most = of.allowance.window + HEAD + 1;
+            conn.rx.bound(most.max(HELD), of.allowance.window);
+        }
+        let whole = up.is_done();
+        let exchange = Exchange::new(id, class, of, tenant, head, up, hold, close);
+        self.exchanges.insert(stream, exchange);
+        if whole || asks {
+            return self.route(net, stream);
+        }
+        self.flow.hold(stream, Way::Up, now);
+    }
+
+    /// Writes an answer of the front's own to a client that is at no stream (any more).
+    pub(super) fn reply(
+        &mut self,
+        net: &mut Sockets,
+        id: ConnId,
+        status: u16,
+        retry_after: f64,
+        why: &str,
+        close: bool,
+    ) {
+        let close = close || self.closes();
+        let mut headers = vec![("Content-Type", "text/plain".to_string())];
+        if retry_after > 0.0 {
+            headers.push(("Retry-After", format!("{}", (retry_after / 1e3).ceil())));
+        }
+        if !net.write(id, &http::answer(status, &headers, why.as_bytes(), close)) {
+            return self.drop_client(net, id);
+        }
+        if close { self.end_client(net, id) } else { self.free_client(net, id) }
+    }
+
+    /// A client's connection is between requests again; its next one may have come.
+    pub(super) fn free_client(&mut self, net: &mut Sockets, id: ConnId) {
+        let until = self.now() + self.config.table.idle_s * 1e3;
+        let (Some(client), Some(conn)) = (self.clients.get_mut(&id), net.conn(id)) else { return };
+        (client.at, client.until) = (At::Idle, until);
+        conn.rx.bound(HELD, 0);
+        self.later.push(id);
+    }
+
+    /// A client's connection ends once its answer is written. What it still sends is read and dropped for a while: a
+    /// close with bytes unread would take the answer back.
+    pub(super) fn end_client(&mut self, net: &mut Sockets, id: ConnId) {
+        let until = self.now() + LINGER;
+        let (Some(client), Some(conn)) = (self.clients.get_mut(&id), net.conn(id)) else { return };
+        if client.at != At::Ending {
+            (client.at, client.until) = (At::Ending, until);
+            conn.rx.consume(conn.rx.len());
+            conn.rx.bound(HELD, 0);
+            self.later.push(id);
+        }
+    }
+
+    fn drain(&mut self, net: &mut Sockets, id: ConnId) {
+        let Some(conn) = net.conn(id) else { return };
+        conn.write_queued();
+        if conn.is_written() && !conn.closing {
+            conn.closing = true;
+            conn.end_writing();
+        }
+        let mut drained = 0;
+        loop {
+            let more = conn.read_some(HELD);
+            drained += conn.rx.len();
+            conn.rx.consume(conn.rx.len());
+            if conn.eof && conn.closing || conn.broken {
+                return self.drop_client(net, id);
+            }
+            if !more {
+                return;
+            }
+            // Guards against a client that sends without end: others have their turn.
+            if drained >= DRAINED {
+                return self.later.push(id);
+            }
+        }
+    }
+
+    pub(super) fn drop_client(&mut self, net: &mut Sockets, id: ConnId) {
+        let stream = self.clients.get(&id).and_then(Client::stream);
+        if let Some(stream) = stream {
+            return self.client_gone(net, stream);
+        }
+        self.clients.remove(&id);
+        net.close(id);
+    }
+
+    /// Forgets a client's connection whose stream is over.
+    pub(super) fn cut_client(&mut self, net: &mut Sockets, id: ConnId) {
+        self.clients.remove(&id);
+        net.close(id);
+    }
+
+    pub(super) fn expire_clients(&mut self, net: &mut Sockets, now: f64) {
+        let over = self.clients.iter().filter(|(_, c)| c.until <= now).map(|(&id, c)| (id, c.at));
+        let mut over: Vec<(ConnId, At)> = over.collect();
+        over.sort_unstable_by_key(|&(id, _)| id);
+        for (id, at) in over {
+            match at {
+                At::Head => self.turn_away(net, id, 408, "the request's head took too long\n"),
+                _ => self.drop_client(net, id),
+            }
+        }
+    }
+
+    /// Closes connections between requests, once the program stops.
+    pub(super) fn close_idle(&mut self, net: &mut Sockets) {
+        let idle = self.clients.iter().filter(|(_, c)| c.at == At::Idle).map(|(&id, _)| id);
+        for id in idle.collect::<Vec<_>>() {
+            // What has come by now is read first, and turned away.
+            self.client_ready(net, id);
+            let written = net.conn(id).is_none_or(|conn| conn.tx.is_empty());
+            if written && self.clients.get(&id).is_some_and(|c| c.at == At::Idle) {
+                self.drop_client(net, id);
+            }
+        }
+    }
+
+    /// A request whose body is held: whether it is time to dispatch it.
+    pub(super) fn consider(&mut self, net: &mut Sockets, stream: StreamId, now: f64) {
+        let Some(exchange) = self.exchanges.get(&stream) else { return };
+        let Up::Held(hold) = &exchange.up else { return };
+        let came = exchange.prefix.as_ref().map_or(0, Vec::len);
+        match hold.next(came, exchange.decoder.is_done(), now) {
+            crate::flow::Next::Wait => {}
+            crate::flow::Next::Go => self.route(net, stream),
+            crate::flow::Next::GiveUp => {
+                self.counters.slow_clients += 1;
+                self.refuse(net, stream, 408, 0.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/front/stream/config.rs
@@ -0,0 +1,466 @@
+//! The table `stream` of the operator's file.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::api::{Class, Limits, Member, MemberState, Repeat, Rules, Settings, WorkerId};
+use crate::core::{Line, micros};
+use crate::flow::{Allowance, Bounds, Dispatch, LEAST, Pace};
+use crate::settings::{Grade, Site};
+
+/// Most of a body's prefix that can be held: it must fit a connection's buffer with its head.
+pub const MOST_HELD_KB: f64 = 64.0;
+/// Shortest time between two calls of the module with different clocks, in milliseconds.
+const QUANTUM: f64 = 1.0;
+
+/// What is wrong with the table.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum ConfigError {
+    /// There is no class, or none of this name.
+    #[error("stream: no [[stream.class]] is given")]
+    NoClass,
+    /// Two classes, or two servers, of one name.
+    #[error("stream: `{0}` is named twice")]
+    Twice(String),
+    /// A class's name cannot be the first part of a path.
+    #[error("stream: class name `{0}` cannot stand in a path: letters, digits, `-`, `_` and `.` only")]
+    ClassName(String),
+    /// Neither or both of `servers` and `discovery`.
+    #[error("stream: give either `servers` or `discovery`")]
+    Servers,
+    /// A figure that is out of its bounds.
+    #[error("stream: `{name}` is {value}, and must be from {least} to {most}")]
+    OutOf {
+        /// Its key.
+        name: String,
+        /// What it is.
+        value: f64,
+        /// Its least.
+        least: f64,
+        /// Its most.
+        most: f64,
+    },
+    /// The memory cannot hold what the bounds allow.
+    #[error(
+        "stream: {streams} streams with {kept_kb} KiB each beside the pool need {needed_mb:.0} MiB, \
+         and `memory_mb` is {given_mb}"
+    )]
+    Memory {
+        /// Streams in all.
+        streams: usize,
+        /// KiB that each may keep.
+        kept_kb: f64,
+        /// MiB that this takes.
+        needed_mb: f64,
+        /// MiB that there are.
+        given_mb: f64,
+    },
+}
+
+/// The table as it is written. All spans end in their unit.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Table {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Client connections at most.
+    pub connections: usize,
+    /// The memory for bodies on their way, in MiB.
+    pub memory_mb: f64,
+    /// Bytes read of one stream before others have their turn, in KiB.
+    pub turn_kb: f64,
+    /// How long a client may take for a request's head.
+    pub head_s: f64,
+    /// How long a connection may stand idle.
+    pub idle_s: f64,
+    /// How long a backend server keeps an idle connection.
+    pub server_idle_s: f64,
+    /// How long a connection to a backend server may take to come up.
+    pub connect_s: f64,
+    /// How long streams may go on after SIGTERM.
+    pub stop_s: f64,
+    /// The header that names a request's tenant.
+    pub tenant_header: String,
+    /// Advice to those turned away.
+    pub retry_after_s: f64,
+    /// Dispatches for one request at most.
+    pub attempts: usize,
+    /// How many dispatchers there are, and the number of this one.
+    pub dispatchers: u32,
+    /// Number of this dispatcher, from 0.
+    pub number: u32,
+    /// Where discovery is.
+    pub discovery: Option<SocketAddr>,
+    /// The backend servers, where there is no discovery.
+    pub servers: Vec<ServerTable>,
+    /// Bounds on streams.
+    pub streams: StreamsTable,
+    /// What is asked of a server that has just started.
+    pub cold: ColdTable,
+    /// The classes.
+    pub class: Vec<ClassTable>,
+}
+
+impl Default for Table {
+    fn default() -> Table {
+        Table {
+            listen: SocketAddr::from(([127, 0, 0, 1], 8090)),
+            connections: 512,
+            memory_mb: 48.0,
+            turn_kb: 128.0,
+            head_s: 5.0,
+            idle_s: 60.0,
+            server_idle_s: 15.0,
+            connect_s: 1.0,
+            stop_s: 10.0,
+            tenant_header: "Req-Owner".into(),
+            retry_after_s: 2.0,
+            attempts: 3,
+            dispatchers: 1,
+            number: 0,
+            discovery: None,
+            servers: Vec::new(),
+            streams: StreamsTable::default(),
+            cold: ColdTable::default(),
+            class: Vec::new(),
+        }
+    }
+}
+
+/// A backend server of the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerTable {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub dial: SocketAddr,
+    /// Its size beside others.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// It finishes what it has and gets nothing new.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Bounds on streams.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StreamsTable {
+    /// In all.
+    pub total: usize,
+    /// Of one tenant.
+    pub tenant: usize,
+    /// At one backend server.
+    pub server: usize,
+}
+
+impl Default for StreamsTable {
+    fn default() -> StreamsTable {
+        StreamsTable { total: 256, tenant: 256, server: 64 }
+    }
+}
+
+/// The figures of the rule on servers that have just started.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdTable {
+    /// Part of its capacity that it has then.
+    pub from: f64,
+    /// When it has all.
+    pub warm_s: f64,
+    /// Multiple of its capacity that pushes it over.
+    pub multiple: f64,
+}
+
+impl Default for ColdTable {
+    fn default() -> ColdTable {
+        ColdTable { from: 0.14, warm_s: 22.0, multiple: 2.5 }
+    }
+}
+
+/// Whether a class may run twice.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum RepeatTable {
+    /// Any number of times.
+    Safe,
+    /// Never.
+    Never,
+}
+
+/// When a class's requests are dispatched.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum DispatchTable {
+    /// At the head.
+    Head,
+    /// Once a prefix is held.
+    Prefix,
+    /// As with a prefix, if the client kept the least pace.
+    Pace,
+}
+
+/// A class.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassTable {
+    /// Its name: the first part of the path.
+    pub name: String,
+    /// Whether it may run twice.
+    pub repeat: RepeatTable,
+    /// How long a request may wait for a backend server.
+    #[serde(default = "wait_s")]
+    pub wait_s: f64,
+    /// How long a request may take until its answer begins.
+    #[serde(default = "longest_s")]
+    pub longest_s: f64,
+    /// How long the answer may take to begin once all of the request is with its server.
+    #[serde(default = "answer_s")]
+    pub answer_s: f64,
+    /// Most of a body, each way, in MiB.
+    #[serde(default = "body_mb")]
+    pub body_mb: f64,
+    /// Bytes held each way, in KiB.
+    #[serde(default = "kb")]
+    pub window_kb: f64,
+    /// The prefix that is held, and can be sent again, in KiB.
+    #[serde(default = "kb")]
+    pub hold_kb: f64,
+    /// When its requests are dispatched.
+    #[serde(default = "dispatch")]
+    pub dispatch: DispatchTable,
+    /// Least pace of a peer that is waited for, in KiB a second.
+    #[serde(default = "least")]
+    pub least_kb_s: f64,
+    /// The time waited over which it is measured.
+    #[serde(default = "over_s")]
+    pub over_s: f64,
+    /// Longest wait without a byte.
+    #[serde(default = "silence_s")]
+    pub silence_s: f64,
+}
+
+fn wait_s() -> f64 {
+    2.0
+}
+fn longest_s() -> f64 {
+    3600.0
+}
+fn answer_s() -> f64 {
+    30.0
+}
+fn body_mb() -> f64 {
+    1024.0
+}
+fn kb() -> f64 {
+    64.0
+}
+fn dispatch() -> DispatchTable {
+    DispatchTable::Prefix
+}
+fn least() -> f64 {
+    8.0
+}
+fn over_s() -> f64 {
+    20.0
+}
+fn silence_s() -> f64 {
+    30.0
+}
+
+/// What a class's streams go by, times in milliseconds and sizes in bytes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StreamClass {
+    /// Windows and pace.
+    pub allowance: Allowance,
+    /// When its requests are dispatched.
+    pub dispatch: Dispatch,
+    /// The prefix.
+    pub hold: usize,
+    /// Most of a body.
+    pub body: u64,
+    /// Until the answer begins.
+    pub longest: f64,
+    /// Until the answer begins, once the request is with its server.
+    pub answer: f64,
+}
+
+/// All that the table says, checked.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The table.
+    pub table: Table,
+    /// What the module is told.
+    pub site: Site,
+    /// The classes, in the module's order.
+    pub classes: Vec<StreamClass>,
+    /// Bounds on streams.
+    pub bounds: Bounds,
+    /// Bytes that all lanes may hold together.
+    pub pool: usize,
+    /// Bytes of a turn.
+    pub quantum: usize,
+    /// The backend servers of the file.
+    pub lines: Vec<Line>,
+}
+
+impl Table {
+    /// Checks the table. All that is wrong with it is told.
+    pub fn check(self) -> Result<Config, Vec<ConfigError>> {
+        let mut errors = Vec::new();
+        let mut within = |name: &str, value: f64, least: f64, most: f64| {
+            if !(least..=most).contains(&value) {
+                errors.push(ConfigError::OutOf { name: name.into(), value, least, most });
+            }
+        };
+        within("connections", self.connections as f64, 1.0, 65_536.0);
+        within("memory_mb", self.memory_mb, 1.0, 65_536.0);
+        within("turn_kb", self.turn_kb, 4.0, 1024.0);
+        for (name, value) in [("head_s", self.head_s), ("idle_s", self.idle_s), ("connect_s", self.connect_s)]
+        {
+            within(name, value, 0.001, 3600.0);
+        }
+        within("server_idle_s", self.server_idle_s, 1.0, 3600.0);
+        within("stop_s", self.stop_s, 0.1, 3600.0);
+        within("retry_after_s", self.retry_after_s, 0.0, 3600.0);
+        within("attempts", self.attempts as f64, 1.0, 5.0);
+        within("dispatchers", f64::from(self.dispatchers), 1.0, 1e6);
+        within("number", f64::from(self.number), 0.0, f64::from(self.dispatchers.max(1)) - 1.0);
+        within("streams.total", self.streams.total as f64, 1.0, 65_536.0);
+        within("streams.tenant", self.streams.tenant as f64, 1.0, 65_536.0);
+        within("streams.server", self.streams.server as f64, 1.0, 65_536.0);
+        within("cold.from", self.cold.from, 0.01, 1.0);
+        within("cold.warm_s", self.cold.warm_s, 0.0, 3600.0);
+        within("cold.multiple", self.cold.multiple, 1.0, 100.0);
+        for class in &self.class {
+            let mut within = |name: &str, value, least, most| {
+                within(&format!("class.{}.{name}", class.name), value, least, most)
+            };
+            within("wait_s", class.wait_s, 0.001, 3600.0);
+            within("longest_s", class.longest_s, 0.001, 7.0 * 86_400.0);
+            within("answer_s", class.answer_s, 0.001, class.longest_s);
+            within("body_mb", class.body_mb, 0.001, 16.0 * 1024.0 * 1024.0);
+            within("window_kb", class.window_kb, LEAST as f64 / 1024.0, 4096.0);
+            within("hold_kb", class.hold_kb, 0.0, MOST_HELD_KB.min(class.window_kb));
+            within("least_kb_s", class.least_kb_s, 0.0, 1e9);
+            within("over_s", class.over_s, 0.05, 3600.0);
+            within("silence_s", class.silence_s, 0.05, 3600.0);
+        }
+        if self.class.is_empty() {
+            errors.push(ConfigError::NoClass);
+        }
+        let mut names = BTreeSet::new();
+        for class in &self.class {
+            let fits = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+            if class.name.is_empty() || !class.name.bytes().all(fits) {
+                errors.push(ConfigError::ClassName(class.name.clone()));
+            }
+            if !names.insert(class.name.as_str()) {
+                errors.push(ConfigError::Twice(class.name.clone()));
+            }
+        }
+        let mut names = BTreeSet::new();
+        for server in &self.servers {
+            if !names.insert(server.name.as_str()) {
+                errors.push(ConfigError::Twice(server.name.clone()));
+            }
+        }
+        if self.servers.is_empty() == self.discovery.is_none() {
+            errors.push(ConfigError::Servers);
+        }
+        // Beside the pool each stream may read its least each way, and keep its prefix to send it again.
+        let prefix = self.class.iter().map(|c| c.hold_kb).fold(0.0, f64::max);
+        let kept_kb = prefix + 2.0 * LEAST as f64 / 1024.0;
+        let needed_mb = kept_kb * self.streams.total as f64 / 1024.0;
+        if needed_mb + 1.0 > self.memory_mb {
+            let (streams, given_mb) = (self.streams.total, self.memory_mb);
+            errors.push(ConfigError::Memory { streams, kept_kb, needed_mb: needed_mb + 1.0, given_mb });
+        }
+        if !errors.is_empty() {
+            return Err(errors);
+        }
+        let pool = ((self.memory_mb - needed_mb) * 1024.0 * 1024.0) as usize;
+        let Bounds { total, tenant, server } =
+            Bounds { total: self.streams.total, tenant: self.streams.tenant, server: self.streams.server };
+        Ok(Config {
+            site: self.site(),
+            classes: self.class.iter().map(ClassTable::stream).collect(),
+            bounds: Bounds { total, tenant, server },
+            pool,
+            quantum: (self.turn_kb * 1024.0) as usize,
+            lines: self.servers.iter().map(ServerTable::line).collect(),
+            table: self,
+        })
+    }
+
+    fn site(&self) -> Site {
+        let class = |c: &ClassTable| Class {
+            aim: micros(c.wait_s * 1e3),
+            late_worth: 0.0,
+            repeat: if c.repeat == RepeatTable::Safe { Repeat::Safe } else { Repeat::Unsafe },
+            kind: None,
+        };
+        let grade = |c: &ClassTable| Grade { name: c.name.clone(), hard_limit: c.longest_s * 1e3 };
+        let settings = Settings {
+            number: self.number,
+            dispatchers: self.dispatchers,
+            zone: 0,
+            quantum: micros(QUANTUM),
+            classes: self.class.iter().map(class).collect(),
+            live_sizes: false,
+            must_subscribe: self.discovery.is_some(),
+            // A probe is answered by the front itself, out of its own count of streams.
+            limits: Limits { attempts: self.attempts, cancel: true, probe: true },
+            zones_cost: false,
+            rules: Rules {
+                cold_from: self.cold.from,
+                cold: micros(self.cold.warm_s * 1e3),
+                fall_multiple: self.cold.multiple,
+                ask_within: micros(5_000.0),
+            },
+            // Nor does a server tell when it starts: its answer does.
+            tells_start: false,
+        };
+        let mut site = Site::plain(settings, self.class.iter().map(grade).collect());
+        site.conn_idle = self.server_idle_s * 1e3;
+        site.connect_timeout = self.connect_s * 1e3;
+        site.max_retry_after = self.retry_after_s * 1e3;
+        site
+    }
+}
+
+impl ClassTable {
+    fn stream(&self) -> StreamClass {
+        let kb = |kb: f64| (kb * 1024.0) as usize;
+        let pace =
+            Pace { least: self.least_kb_s * 1024.0, over: self.over_s * 1e3, silence: self.silence_s * 1e3 };
+        StreamClass {
+            allowance: Allowance { window: kb(self.window_kb), pace },
+            dispatch: match self.dispatch {
+                DispatchTable::Head => Dispatch::Head,
+                DispatchTable::Prefix => Dispatch::Prefix,
+                DispatchTable::Pace => Dispatch::Pace,
+            },
+            hold: kb(self.hold_kb),
+            body: (self.body_mb * 1024.0 * 1024.0) as u64,
+            longest: self.longest_s * 1e3,
+            answer: self.answer_s * 1e3,
+        }
+    }
+}
+
+impl ServerTable {
+    fn line(&self) -> Line {
+        let state = if self.draining { MemberState::Draining } else { MemberState::Ready };
+        let member = Member { worker: WorkerId::default(), size: self.share, state, ..Member::default() };
+        Line { name: self.name.clone(), address: self.dial.to_string(), member }
+    }
+}
--- /dev/null
+++ b/src/front/stream/counters.rs
@@ -0,0 +1,62 @@
+//! What this front counts beside its core: why streams ended otherwise than whole.
+
+use std::fmt;
+
+use crate::flow::{GiveUp, Side, Verdict, Way};
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    /// Streams whose answer went out whole.
+    pub whole: u64,
+    /// Streams whose answer had begun, and was cut so that the client sees it.
+    pub cut: u64,
+    /// Requests refused before they were taken: they do not read, or are too large or of no class.
+    pub unread: u64,
+    /// Requests turned away by a bound on streams.
+    pub full: u64,
+    /// Clients given up as too slow, and as silent.
+    pub slow_clients: u64,
+    /// As silent.
+    pub silent_clients: u64,
+    /// Backend servers given up as too slow, and as silent.
+    pub slow_servers: u64,
+    /// As silent.
+    pub silent_servers: u64,
+    /// Bytes of bodies that sinks took, up and down.
+    pub up: u64,
+    /// Down.
+    pub down: u64,
+}
+
+impl Counters {
+    /// Counts a peer that was given up.
+    pub fn give_up(&mut self, given: &GiveUp) {
+        let client = (given.way == Way::Up) == (given.side == Side::Source);
+        let count = match (client, given.verdict) {
+            (true, Verdict::Slow) => &mut self.slow_clients,
+            (true, Verdict::Silent) => &mut self.silent_clients,
+            (false, Verdict::Slow) => &mut self.slow_servers,
+            (false, Verdict::Silent) => &mut self.silent_servers,
+        };
+        *count += 1;
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = [
+            ("whole", self.whole),
+            ("cut", self.cut),
+            ("unread", self.unread),
+            ("full", self.full),
+            ("slow_clients", self.slow_clients),
+            ("silent_clients", self.silent_clients),
+            ("slow_servers", self.slow_servers),
+            ("silent_servers", self.silent_servers),
+            ("bytes_up", self.up),
+            ("bytes_down", self.down),
+        ];
+        rows.iter().try_for_each(|(name, count)| writeln!(f, "{name} {count}"))
+    }
+}
--- /dev/null
+++ b/src/front/stream/mod.rs
@@ -0,0 +1,275 @@
+//! The stream front: HTTP/1.1 whose backend servers answer on the same connection, with bodies of any length relayed
+//! as they come. It decides nothing: which server, again or not, and what is turned away is the module's; who is read
+//! next, how much, and who is too slow is `flow`'s.
+
+mod clients;
+mod config;
+mod counters;
+mod relay;
+mod servers;
+
+use rustc_hash::FxHashMap;
+
+use super::discovery::{Discovery, Heard, renewed};
+use super::{Leaving, Sockets};
+use crate::api::WorkerId;
+use crate::core::{Clock, Command, Core, SessionId, Verdict};
+use crate::flow::{Admission, Flow, Slots, StreamId};
+use crate::net::{ConnId, Pool};
+
+use clients::Client;
+pub use config::{Config, ConfigError, Table};
+use counters::Counters;
+use relay::Exchange;
+use servers::Server;
+
+/// Bytes moved before the loop looks at the sockets again: what small requests wait for beside full-speed streams.
+const ROUND: usize = 1 << 20;
+
+/// The front.
+pub struct Stream {
+    core: Core,
+    config: Config,
+    listener: usize,
+    clients: FxHashMap<ConnId, Client>,
+    servers: FxHashMap<ConnId, Server>,
+    pool: Pool<WorkerId>,
+    exchanges: FxHashMap<StreamId, Exchange>,
+    sessions: FxHashMap<SessionId, StreamId>,
+    flow: Flow,
+    admission: Admission,
+    slots: Slots,
+    discovery: Option<Discovery>,
+    counters: Counters,
+    /// The last stream's id.
+    last: StreamId,
+    /// Client connections that may hold a next request.
+    later: Vec<ConnId>,
+    stopping: Option<Leaving>,
+    /// When streams that still run are cut.
+    cut: f64,
+}
+
+impl Stream {
+    /// A front on a listener that is open.
+    pub fn new(config: Config, seed: u64, clock: Clock, listener: usize) -> Stream {
+        let discovery = config.table.discovery.map(|address| Discovery::new(address, Some(address), 0));
+        let mut core = Core::new(config.site.clone(), seed, clock, config.bounds.total);
+        if discovery.is_some() {
+            core.known(Vec::new());
+        } else {
+            core.listed(config.lines.clone(), true);
+        }
+        Stream {
+            core,
+            listener,
+            clients: FxHashMap::default(),
+            servers: FxHashMap::default(),
+            pool: Pool::new(config.site.conn_idle),
+            exchanges: FxHashMap::default(),
+            sessions: FxHashMap::default(),
+            flow: Flow::new(config.pool, config.quantum),
+            admission: Admission::new(config.bounds),
+            slots: Slots::new(config.bounds.server),
+            discovery,
+            counters: Counters::default(),
+            last: 0,
+            later: Vec::new(),
+            stopping: None,
+            cut: f64::INFINITY,
+            config,
+        }
+    }
+
+    /// Whether a file that was read again can be taken over without a restart. Classes are numbers in all that is
+    /// open.
+    pub fn fits(&self, config: &Config) -> Result<(), String> {
+        if config.table.discovery.is_some() != self.discovery.is_some() {
+            return Err("to begin or end with `discovery` takes a restart".into());
+        }
+        let names = |c: &Config| c.table.class.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
+        if names(config) != names(&self.config) {
+            return Err("other classes take a restart".into());
+        }
+        self.core.fits(&config.site)
+    }
+
+    /// Takes over a file that fits. Streams that run go on under what they began with.
+    pub fn reload(&mut self, net: &mut Sockets, config: Config) {
+        self.core.adopt(config.site.clone(), config.bounds.total);
+        self.pool.keep_below(config.site.conn_idle);
+        self.flow.adopt(config.pool, config.quantum);
+        self.admission.adopt(config.bounds);
+        self.slots.adopt(config.bounds.server);
+        let now = self.now();
+        if let Some(discovery) = &mut self.discovery {
+            let heard = discovery.follow(net, now, config.table.discovery);
+            self.heard(net, heard);
+        } else {
+            self.heard(net, Some(Heard::List(config.lines.clone(), true)));
+        }
+        self.config = config;
+        self.carry_out(net);
+    }
+
+    /// Its core.
+    pub fn core(&self) -> &Core {
+        &self.core
+    }
+
+    /// Its listener.
+    pub fn listener(&self) -> usize {
+        self.listener
+    }
+
+    /// Descriptors that a configuration may take: each client's connection and one to a server for each stream.
+    pub fn descriptors(config: &Config) -> usize {
+        config.table.connections + config.bounds.total
+    }
+
+    /// What it counts beside its core.
+    pub fn counters(&self) -> String {
+        format!("{}{}held {}\n", self.core.counters(), self.counters, self.flow.held())
+    }
+
+    fn now(&self) -> f64 {
+        self.core.clock().now()
+    }
+
+    /// Whether a connection is one of its own.
+    pub fn owns(&self, conn: ConnId) -> bool {
+        let discovery = self.discovery.as_ref().is_some_and(|d| d.owns(conn));
+        discovery || self.clients.contains_key(&conn) || self.servers.contains_key(&conn)
+    }
+
+    /// A connection can be read or written, came up or broke.
+    pub fn ready(&mut self, net: &mut Sockets, conn: ConnId) {
+        if self.clients.contains_key(&conn) {
+            self.client_ready(net, conn);
+        } else if self.servers.contains_key(&conn) {
+            self.server_ready(net, conn);
+        } else if let Some(discovery) = &mut self.discovery {
+            let heard = discovery.ready(net, self.core.clock().now(), self.core.site());
+            self.heard(net, heard);
+        }
+        self.carry_out(net);
+    }
+
+    /// Tells the core what discovery has brought.
+    fn heard(&mut self, net: &mut Sockets, heard: Option<Heard>) {
+        match heard {
+            Some(Heard::List(lines, whole)) => {
+                for server in renewed(&self.core, &lines) {
+                    self.drop_idle(net, server);
+                }
+                self.core.listed(lines, whole);
+            }
+            Some(Heard::Failed) => self.core.list_failed(),
+            None => {}
+        }
+    }
+
+    /// Carries out what the core has decided, until nothing follows from it any more.
+    fn carry_out(&mut self, net: &mut Sockets) {
+        while let Some(command) = self.core.next_command() {
+            match command {
+                Command::Send { session, attempt, server } => self.send(net, session, attempt, server),
+                Command::Cancel { session, attempt } => self.cancel(net, session, attempt),
+                Command::Answer { session, verdict } => self.answer(net, session, verdict),
+                // What a probe would ask is counted here: streams out at each server.
+                Command::Probe { server } => {
+                    let report = self.slots.report(server);
+                    self.core.probed(server, true, 0.0, report);
+                }
+                Command::Subscribe => {
+                    if let Some(discovery) = &mut self.discovery {
+                        let heard = discovery.call(net, self.core.clock().now());
+                        self.heard(net, heard);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The final answer of a session, where its front has not given it already.
+    fn answer(&mut self, net: &mut Sockets, session: SessionId, verdict: Verdict) {
+        let Some(&stream) = self.sessions.get(&session) else { return };
+        match verdict {
+            Verdict::Served(_) => self.finish(net, stream),
+            Verdict::Denied { retry_after } => self.refuse(net, stream, 503, retry_after),
+            Verdict::Failed => self.refuse(net, stream, 502, 0.0),
+        }
+    }
+
+    /// Does what is due by now, and moves bytes for a while.
+    pub fn tick(&mut self, net: &mut Sockets) {
+        let now = self.now();
+        self.core.tick();
+        self.carry_out(net);
+        for conn in std::mem::take(&mut self.later) {
+            self.client_ready(net, conn);
+        }
+        self.expire_clients(net, now);
+        self.expire_servers(net, now);
+        self.expire_streams(net, now);
+        if let Some(discovery) = &mut self.discovery {
+            let heard = discovery.tick(net, now);
+            self.heard(net, heard);
+        }
+        self.carry_out(net);
+        let mut moved = 0;
+        while moved < ROUND
+            && let Some(turn) = self.flow.turn()
+        {
+            // A turn that moves nothing costs a call or two: as much as some bytes do.
+            moved += self.take_turn(net, turn).max(4096);
+            self.carry_out(net);
+        }
+        if self.closes() {
+            self.core.stop();
+            self.close_idle(net);
+            if now >= self.cut {
+                self.cut_all(net);
+            }
+            self.carry_out(net);
+        }
+    }
+
+    /// When `tick` is to be called next.
+    pub fn next(&self) -> f64 {
+        let now = self.now();
+        if self.flow.has_turns() || !self.later.is_empty() {
+            return now;
+        }
+        let clients = self.clients.values().map(|c| c.until);
+        let servers = self.servers.values().map(|s| s.until);
+        let stop = self.stopping.map_or(f64::INFINITY, |leaving| leaving.last_call.max(now + 20.0));
+        let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
+        let discovery = self.discovery.as_ref().map_or(f64::INFINITY, Discovery::next);
+        let due = wake.min(stop).min(discovery).min(self.flow.due());
+        let answers = self.exchanges.values().map(|e| e.answer_by);
+        clients.chain(servers).chain(answers).fold(due, f64::min)
+    }
+
+    /// Begins to stop.
+    pub fn stop(&mut self) {
+        let span = self.config.table.stop_s * 1e3;
+        self.cut = self.cut.min(self.now() + span);
+        self.stopping.get_or_insert_with(|| Leaving::within(&mut self.core, span));
+    }
+
+    /// Whether it is past its last call.
+    fn closes(&self) -> bool {
+        self.stopping.is_some_and(|leaving| self.core.clock().now() >= leaving.last_call)
+    }
+
+    /// Whether all that was taken is answered, and written as far as peers read.
+    pub fn stopped(&mut self, net: &mut Sockets) -> bool {
+        let now = self.now();
+        let open = self.core.open() + self.exchanges.len();
+        let Some(leaving) = self.stopping.as_mut().filter(|_| open == 0) else { return false };
+        leaving.is_over(now, || {
+            self.clients.keys().all(|&id| net.conn(id).is_none_or(|c| c.is_written() || c.broken))
+        })
+    }
+}
--- /dev/null
+++ b/src/front/stream/relay.rs
@@ -0,0 +1,557 @@
+//! Exchanges: a request and its answer, from the head until both bodies have passed, and their turns.
+
+use super::Stream;
+use super::config::StreamClass;
+use crate::api::{Outcome, Report, WorkerId};
+use crate::core::{Request, SessionId, Verdict};
+use crate::flow::{Hold, Moved, Side, StreamId, Turn, Way};
+use crate::front::Sockets;
+use crate::net::body::{BodyError, Decoder, Framing, chunk_head, last_chunk};
+use crate::net::head::{self, AnswerHead, RequestHead};
+use crate::net::{Conn, ConnId};
+
+/// Interim answers that are passed on for one request.
+const INTERIM: u8 = 16;
+/// Room that a chunk takes beside its payload: a size of 16 digits and two line ends.
+const CHUNK: usize = 20;
+
+/// Where the request's body is.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Up {
+    /// Its prefix is held until it is dispatched.
+    Held(Hold),
+    /// It is the module's turn, or it goes no further: nothing is read.
+    Rests,
+    /// It passes to a backend server.
+    Passes,
+    /// All of it is with the server.
+    Done,
+}
+
+/// The answer, once its head was passed on.
+pub(super) struct Down {
+    decoder: Decoder,
+    framing: Framing,
+    /// The last chunk was written.
+    ended: bool,
+    status: u16,
+    /// The server ends the connection after it.
+    close: bool,
+}
+
+/// One of them.
+pub(super) struct Exchange {
+    pub client: ConnId,
+    class: usize,
+    of: StreamClass,
+    tenant: String,
+    head: RequestHead,
+    /// Reads the request's body.
+    pub decoder: Decoder,
+    /// What was read of it so far, while that is all there was: it can be sent (again).
+    pub prefix: Option<Vec<u8>>,
+    pub up: Up,
+    /// The last chunk of the request was written.
+    up_ended: bool,
+    pub session: Option<SessionId>,
+    pub attempt: usize,
+    pub server: Option<(ConnId, WorkerId)>,
+    pub down: Option<Down>,
+    interim: u8,
+    /// The answer is to begin by then.
+    pub answer_by: f64,
+    /// The client's connection ends with it.
+    close: bool,
+    /// The answer went out whole.
+    complete: bool,
+}
+
+impl Exchange {
+    #[expect(clippy::too_many_arguments, reason = "all that a request's head tells")]
+    pub fn new(
+        client: ConnId,
+        class: usize,
+        of: StreamClass,
+        tenant: String,
+        head: RequestHead,
+        decoder: Decoder,
+        hold: Hold,
+        close: bool,
+    ) -> Exchange {
+        Exchange {
+            client,
+            class,
+            of,
+            tenant,
+            head,
+            decoder,
+            prefix: Some(Vec::new()),
+            up: Up::Held(hold),
+            up_ended: false,
+            session: None,
+            attempt: 0,
+            server: None,
+            down: None,
+            interim: 0,
+            answer_by: f64::INFINITY,
+            close,
+            complete: false,
+        }
+    }
+
+    /// The request as far as it can be sent now: its head and what was read of its body. None where some of that is
+    /// not there any more.
+    pub fn opening(&mut self) -> Option<Vec<u8>> {
+        let prefix = self.prefix.as_ref()?;
+        let mut out = head::write_request(&self.head, self.head.framing);
+        if self.head.framing == Framing::Chunked {
+            if !prefix.is_empty() {
+                out.extend(chunk_head(prefix.len()));
+                out.extend(prefix);
+                out.extend(b"\r\n");
+            }
+            if self.decoder.is_done() {
+                out.extend(last_chunk(self.decoder.trailers()));
+            }
+            self.up_ended = self.decoder.is_done();
+        } else {
+            out.extend(prefix);
+        }
+        Some(out)
+    }
+}
+
+/// Passes payload from one connection on to another, framed anew. True where the sink takes no more for now. `keep`
+/// is shown what passes.
+fn pour(
+    source: &mut Conn,
+    sink: &mut Conn,
+    decoder: &mut Decoder,
+    (chunked, ended): (bool, &mut bool),
+    mut keep: impl FnMut(&[u8]),
+) -> Result<bool, BodyError> {
+    sink.write_queued();
+    loop {
+        let mut step = decoder.step(source.rx.front())?;
+        if step.skip + step.payload == 0 && !decoder.is_done() && source.rx.front().len() < source.rx.len() {
+            // Framing that wraps in the buffer.
+            step = decoder.step(source.rx.bytes())?;
+        }
+        source.rx.consume(step.skip);
+        if decoder.is_done() {
+            if chunked && !*ended {
+                *ended = sink.tx.push(&last_chunk(decoder.trailers()));
+                sink.write_queued();
+            }
+            return Ok(chunked && !*ended || !sink.tx.is_empty());
+        }
+        let at_hand = step.payload.min(source.rx.front().len());
+        if at_hand == 0 {
+            if step.skip == 0 {
+                return Ok(!sink.tx.is_empty());
+            }
+            continue;
+        }
+        let payload = &source.rx.front()[..at_hand];
+        let taken = if chunked {
+            let taken = at_hand.min(sink.tx.room().saturating_sub(CHUNK));
+            if taken > 0 {
+                let fits = sink.tx.push(&chunk_head(taken)) && sink.tx.push(&payload[..taken]);
+                debug_assert!(fits && sink.tx.room() >= 2, "the room was reckoned");
+                sink.tx.push(b"\r\n");
+                sink.write_queued();
+            }
+            taken
+        } else if sink.tx.is_empty() {
+            sink.write_some(payload)
+        } else {
+            0
+        };
+        keep(&payload[..taken]);
+        decoder.took(taken);
+        source.rx.consume(taken);
+        // A chunk that was queued and not written stops its source as well.
+        if taken < at_hand || chunked && !sink.tx.is_empty() {
+            return Ok(true);
+        }
+    }
+}
+
+/// The status that tells a client what is wrong with its body.
+fn status_of(error: BodyError) -> (u16, &'static str) {
+    match error {
+        BodyError::TooLong => (413, "the body is longer than its class allows\n"),
+        _ => (400, "the body does not read\n"),
+    }
+}
+
+impl Stream {
+    /// Hands a request to the module.
+    pub(super) fn route(&mut self, net: &mut Sockets, stream: StreamId) {
+        let now = self.now();
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
+        exchange.up = Up::Rests;
+        self.flow.rest(stream, Way::Up, now);
+        let request = Request { class: exchange.class, due: now + exchange.of.longest, slots: 1.0 };
+        match self.core.request(request) {
+            Ok(session) => {
+                exchange.session = Some(session);
+                self.sessions.insert(session, stream);
+            }
+            Err(Verdict::Denied { retry_after }) => self.refuse(net, stream, 503, retry_after),
+            Err(_) => self.refuse(net, stream, 502, 0.0),
+        }
+    }
+
+    /// A lane's turn; the bytes that it moved.
+    pub(super) fn take_turn(&mut self, net: &mut Sockets, turn: Turn) -> usize {
+        match turn.way {
+            Way::Up => self.turn_up(net, turn),
+            Way::Down => self.turn_down(net, turn),
+        }
+    }
+
+    fn turn_up(&mut self, net: &mut Sockets, turn: Turn) -> usize {
+        let (now, stream) = (self.now(), turn.stream);
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return 0 };
+        match (exchange.up, exchange.server) {
+            (Up::Held(_), _) => return self.turn_held(net, turn),
+            (Up::Passes, Some(_)) => {}
+            _ => {
+                self.flow.moved(turn, Moved::default(), now);
+                return 0;
+            }
+        }
+        let Some((server, _)) = exchange.server else { return 0 };
+        let Some([client, server]) = net.pair(exchange.client, server) else { return 0 };
+        if !server.come_up() {
+            let held = client.rx.len() + server.tx.len();
+            self.flow.moved(turn, Moved { more: true, held, blocked: true, ..Moved::default() }, now);
+            return 0;
+        }
+        let (sent, before) = (server.sent, client.rx.len());
+        let more = turn.read == 0 || client.read_some(turn.read);
+        let read = client.rx.len() - before;
+        let framing = (exchange.head.framing == Framing::Chunked, &mut exchange.up_ended);
+        let (prefix, hold) = (&mut exchange.prefix, exchange.of.hold);
+        let poured = pour(client, server, &mut exchange.decoder, framing, |bytes| {
+            // What is more than the prefix cannot be sent again.
+            *prefix = prefix.take().filter(|p| p.len() + bytes.len() <= hold).map(|mut p| {
+                p.extend_from_slice(bytes);
+                p
+            });
+        });
+        let blocked = match poured {
+            Ok(blocked) => blocked,
+            Err(error) => {
+                let (status, _) = status_of(error);
+                self.refuse(net, stream, status, 0.0);
+                return read;
+            }
+        };
+        let done = exchange.decoder.is_done();
+        let taken = (server.sent - sent) as usize;
+        let held = server.tx.len() + if done { 0 } else { client.rx.len() };
+        let (gone, ended, deaf) = (client.broken, client.eof, server.mute);
+        self.counters.up += taken as u64;
+        self.flow.moved(turn, Moved { read, more, taken, held, blocked }, now);
+        if gone {
+            self.client_gone(net, stream);
+        } else if deaf {
+            // It takes no more; it may have said why.
+            exchange.up = Up::Rests;
+            exchange.close = true;
+            self.flow.rest(stream, Way::Up, now);
+            self.read_answer(net, stream);
+        } else if done {
+            self.flow.ended(stream, Way::Up, now);
+            if held == 0 {
+                exchange.up = Up::Done;
+                exchange.answer_by = now + exchange.of.answer;
+                if exchange.down.is_some() {
+                    exchange.answer_by = f64::INFINITY;
+                }
+                let (session, attempt) = (exchange.session, exchange.attempt);
+                self.flow.rest(stream, Way::Up, now);
+                if let Some(session) = session {
+                    self.core.written(session, attempt);
+                }
+            }
+        } else if ended && !blocked {
+            // Half a body is no body: the server sees a break, the client hears so.
+            self.refuse(net, stream, 400, 0.0);
+        }
+        read + taken
+    }
+
+    /// A turn of a request that is held: what came goes to its prefix.
+    fn turn_held(&mut self, net: &mut Sockets, turn: Turn) -> usize {
+        let (now, stream) = (self.now(), turn.stream);
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return 0 };
+        let Some(conn) = net.conn(exchange.client) else { return 0 };
+        let prefix = exchange.prefix.get_or_insert_default();
+        let before = conn.rx.len();
+        let more = turn.read == 0 || conn.read_some(turn.read);
+        let read = conn.rx.len() - before;
+        let error = loop {
+            let step = match exchange.decoder.step(conn.rx.bytes()) {
+                Ok(step) => step,
+                Err(error) => break Some(error),
+            };
+            conn.rx.consume(step.skip);
+            let some = step.payload.min(exchange.of.hold - prefix.len().min(exchange.of.hold));
+            prefix.extend_from_slice(&conn.rx.bytes()[..some]);
+            exchange.decoder.took(some);
+            conn.rx.consume(some);
+            if some == 0 && step.skip == 0 || exchange.decoder.is_done() {
+                break None;
+            }
+        };
+        let done = exchange.decoder.is_done();
+        let held = prefix.len() + if done { 0 } else { conn.rx.len() };
+        let (broken, ended) = (conn.broken, conn.eof);
+        self.flow.moved(turn, Moved { read, more, taken: 0, held, blocked: false }, now);
+        if let Some(error) = error {
+            let (status, _) = status_of(error);
+            self.refuse(net, stream, status, 0.0);
+        } else if broken {
+            self.client_gone(net, stream);
+        } else if ended && !done {
+            self.refuse(net, stream, 400, 0.0);
+        } else {
+            self.consider(net, stream, now);
+        }
+        read
+    }
+
+    /// The answer's head has come.
+    pub(super) fn begin_answer(&mut self, net: &mut Sockets, stream: StreamId, answer: AnswerHead) {
+        let now = self.now();
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
+        let (Some(session), Some((server, _))) = (exchange.session, exchange.server) else { return };
+        let declined = head::value(&answer.headers, "srv-declined") == Some("1");
+        if declined && matches!(answer.status, 503 | 504) && exchange.prefix.is_some() {
+            return self.attempt_over(net, stream, Outcome::Full);
+        }
+        let Ok(decoder) = Decoder::new(answer.framing, exchange.of.body) else {
+            return self.attempt_over(net, stream, Outcome::Unfit);
+        };
+        let framing = match answer.framing {
+            Framing::Chunked | Framing::UntilClose if exchange.head.old => Framing::UntilClose,
+            Framing::UntilClose => Framing::Chunked,
+            other => other,
+        };
+        // An answer before the body's end leaves the connections in the middle of a message.
+        exchange.close |= framing == Framing::UntilClose || !exchange.decoder.is_done();
+        let spoken_of = match answer.framing {
+            Framing::Empty if exchange.head.method == "HEAD" => {
+                head::value(&answer.headers, "content-length").and_then(|v| v.parse().ok())
+            }
+            _ => None,
+        };
+        // Guards against an answer to a dispatch that is over.
+        if !self.core.streaming(session, exchange.attempt) {
+            return;
+        }
+        exchange.answer_by = f64::INFINITY;
+        let bytes = head::write_answer(&answer, framing, spoken_of, exchange.close);
+        let done = decoder.is_done();
+        let (status, close) = (answer.status, answer.close || !matches!(exchange.up, Up::Done));
+        exchange.down = Some(Down { decoder, framing, ended: false, status, close });
+        let Some([client, server]) = net.pair(exchange.client, server) else { return };
+        if !client.tx.push(&bytes) {
+            return self.attempt_over(net, stream, Outcome::Error);
+        }
+        let window = exchange.of.allowance.window;
+        server.rx.bound((window + crate::net::http::HEAD + 1).max(crate::net::HELD), window);
+        let held = client.tx.len() + server.rx.len();
+        self.flow.pass(stream, Way::Down, held, now);
+        if done {
+            self.flow.ended(stream, Way::Down, now);
+        }
+    }
+
+    fn turn_down(&mut self, net: &mut Sockets, turn: Turn) -> usize {
+        let (now, stream) = (self.now(), turn.stream);
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return 0 };
+        let (Some(down), Some((server, _))) = (&mut exchange.down, exchange.server) else {
+            self.flow.moved(turn, Moved::default(), now);
+            return 0;
+        };
+        let Some([client, server]) = net.pair(exchange.client, server) else { return 0 };
+        let (sent, before) = (client.sent, server.rx.len());
+        let more = turn.read == 0 || server.read_some(turn.read);
+        let read = server.rx.len() - before;
+        let chunked = down.framing == Framing::Chunked;
+        let mut poured = pour(server, client, &mut down.decoder, (chunked, &mut down.ended), |_| ());
+        if server.eof && server.rx.is_empty() && !down.decoder.is_done() && down.decoder.end() {
+            // All that came before the end was the body.
+            poured = pour(server, client, &mut down.decoder, (chunked, &mut down.ended), |_| ());
+        }
+        let Ok(blocked) = poured else {
+            self.attempt_over(net, stream, Outcome::Error);
+            return read;
+        };
+        let done = down.decoder.is_done();
+        let taken = (client.sent - sent) as usize;
+        let held = client.tx.len() + if done { 0 } else { server.rx.len() };
+        let (gone, ended) = (client.mute || client.broken, server.eof || server.broken);
+        self.counters.down += taken as u64;
+        self.flow.moved(turn, Moved { read, more, taken, held, blocked }, now);
+        if gone {
+            self.client_gone(net, stream);
+        } else if done {
+            self.flow.ended(stream, Way::Down, now);
+            if held == 0 && (!chunked || self.exchanges[&stream].down.as_ref().is_some_and(|d| d.ended)) {
+                self.completed(net, stream);
+            }
+        } else if ended && !blocked {
+            // Guards against an answer that looks whole and is not.
+            self.attempt_over(net, stream, Outcome::Reset);
+        }
+        read + taken
+    }
+
+    /// The answer is out, all of it.
+    fn completed(&mut self, net: &mut Sockets, stream: StreamId) {
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
+        exchange.complete = true;
+        let (session, attempt) = (exchange.session, exchange.attempt);
+        let (status, close) = exchange.down.as_ref().map_or((0, true), |d| (d.status, d.close));
+        let outcome = if status < 500 { Outcome::Served } else { Outcome::Error };
+        let report = self.release(net, stream, !close);
+        if let Some(session) = session {
+            self.core.ended(session, attempt, outcome, report, Vec::new());
+        }
+    }
+
+    /// A dispatch has ended otherwise than with a whole answer. What follows is the module's to say.
+    pub(super) fn attempt_over(&mut self, net: &mut Sockets, stream: StreamId, outcome: Outcome) {
+        let now = self.now();
+        let report = self.release(net, stream, false);
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
+        exchange.answer_by = f64::INFINITY;
+        exchange.up = Up::Rests;
+        let (session, attempt) = (exchange.session, exchange.attempt);
+        self.flow.rest(stream, Way::Up, now);
+        self.flow.rest(stream, Way::Down, now);
+        if let Some(session) = session {
+            self.core.ended(session, attempt, outcome, report, Vec::new());
+        }
+    }
+
+    /// Takes the backend server's connection off an exchange, and gives its slot back: to be used again, or closed.
+    pub(super) fn release(&mut self, net: &mut Sockets, stream: StreamId, keep: bool) -> Report {
+        let server = self.exchanges.get_mut(&stream).and_then(|e| e.server.take());
+        let Some((conn, worker)) = server else { return Report::default() };
+        self.slots.give_back(worker);
+        self.free_server(net, conn, keep);
+        self.slots.report(worker)
+    }
+
+    /// Takes an exchange out, with all that it holds but its client's connection and its session.
+    fn remove(&mut self, net: &mut Sockets, stream: StreamId) -> Option<Exchange> {
+        self.release(net, stream, false);
+        let exchange = self.exchanges.remove(&stream)?;
+        self.flow.close(stream);
+        self.admission.leave(&exchange.tenant);
+        if let Some(session) = exchange.session {
+            self.sessions.remove(&session);
+            // Where it is not over already.
+            self.core.client_left(session);
+        }
+        Some(exchange)
+    }
+
+    /// An answer that was relayed whole is over.
+    pub(super) fn finish(&mut self, net: &mut Sockets, stream: StreamId) {
+        let Some(exchange) = self.remove(net, stream) else { return };
+        self.counters.whole += 1;
+        if exchange.close {
+            self.end_client(net, exchange.client);
+        } else {
+            self.free_client(net, exchange.client);
+        }
+    }
+
+    /// The front's own final answer: a status, or where the answer has begun, a cut that the client sees.
+    pub(super) fn refuse(&mut self, net: &mut Sockets, stream: StreamId, status: u16, retry_after: f64) {
+        if self.exchanges.get(&stream).is_some_and(|e| e.complete) {
+            return self.finish(net, stream);
+        }
+        let Some(exchange) = self.remove(net, stream) else { return };
+        let Some(down) = exchange.down else {
+            let why = match status {
+                400 => "the body does not read\n",
+                408 => "too slow\n",
+                413 => "the body is longer than its class allows\n",
+                503 => "denied\n",
+                _ => "failed\n",
+            };
+            let close = exchange.close || !exchange.decoder.is_done();
+            return self.reply(net, exchange.client, status, retry_after, why, close);
+        };
+        self.counters.cut += 1;
+        if down.framing == Framing::UntilClose
+            && let Some(conn) = net.conn(exchange.client)
+        {
+            conn.break_off();
+        }
+        self.cut_client(net, exchange.client);
+    }
+
+    /// The client is gone: nothing is owed any more.
+    pub(super) fn client_gone(&mut self, net: &mut Sockets, stream: StreamId) {
+        if let Some(exchange) = self.remove(net, stream) {
+            self.cut_client(net, exchange.client);
+        }
+    }
+
+    /// Gives up who is too slow or too silent, and servers that do not begin to answer.
+    pub(super) fn expire_streams(&mut self, net: &mut Sockets, now: f64) {
+        for given in self.flow.expire(now) {
+            self.counters.give_up(&given);
+            let client = (given.way == Way::Up) == (given.side == Side::Source);
+            if client {
+                self.refuse(net, given.stream, 408, 0.0);
+            } else {
+                self.attempt_over(net, given.stream, Outcome::TimedOut);
+            }
+        }
+        let late = self.exchanges.iter().filter(|(_, e)| e.answer_by <= now).map(|(&stream, _)| stream);
+        let mut late: Vec<StreamId> = late.collect();
+        late.sort_unstable();
+        for stream in late {
+            self.counters.silent_servers += 1;
+            self.attempt_over(net, stream, Outcome::TimedOut);
+        }
+    }
+
+    /// Ends all streams: the span of a stop is over.
+    pub(super) fn cut_all(&mut self, net: &mut Sockets) {
+        let mut streams: Vec<StreamId> = self.exchanges.keys().copied().collect();
+        streams.sort_unstable();
+        for stream in streams {
+            let taken = self.exchanges.get(&stream).is_some_and(|e| e.session.is_some());
+            self.refuse(net, stream, if taken { 502 } else { 503 }, 0.0);
+        }
+    }
+
+    /// Passes an interim answer on. False where there are too many, or its client takes none.
+    pub(super) fn interim(&mut self, net: &mut Sockets, stream: StreamId, answer: &AnswerHead) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return false };
+        exchange.interim += 1;
+        if answer.status == 101 || exchange.interim > INTERIM {
+            return false;
+        }
+        if exchange.head.old {
+            return true;
+        }
+        net.write(exchange.client, &head::write_answer(answer, Framing::Empty, None, false))
+    }
+
+    /// Whether an exchange is a HEAD's.
+    pub(super) fn is_to_head(&self, stream: StreamId) -> bool {
+        self.exchanges.get(&stream).is_some_and(|e| e.head.method == "HEAD")
+    }
+}
--- /dev/null
+++ b/src/front/stream/servers.rs
@@ -0,0 +1,198 @@
+//! Backend servers: connections of their own or out of the pool, dispatches, and the heads of answers.
+
+use std::net::SocketAddr;
+
+use super::Stream;
+use super::relay::Up;
+use crate::api::{Outcome, WorkerId};
+use crate::core::SessionId;
+use crate::flow::{StreamId, Way};
+use crate::front::Sockets;
+use crate::net::head;
+use crate::net::http::HEAD;
+use crate::net::{ConnId, HELD};
+
+/// A connection to a backend server.
+pub(super) struct Server {
+    worker: WorkerId,
+    stream: Option<StreamId>,
+    /// It is to have come up by then.
+    pub until: f64,
+    /// Bytes that it had taken before this dispatch.
+    base: u64,
+}
+
+impl Stream {
+    /// Sends a dispatch, as far as its body has come.
+    pub(super) fn send(&mut self, net: &mut Sockets, session: SessionId, attempt: usize, worker: WorkerId) {
+        let now = self.now();
+        let Some(&stream) = self.sessions.get(&session) else { return };
+        let opening = self.exchanges.get_mut(&stream).and_then(|e| e.opening());
+        // Guards against half a body: what has gone past the prefix is nowhere any more.
+        let Some(opening) = opening else { return self.unsent(session, attempt, Outcome::Unfit, worker) };
+        if !self.slots.take(worker) {
+            return self.unsent(session, attempt, Outcome::Full, worker);
+        }
+        let Some(conn) = self.acquire(net, worker, stream) else {
+            self.slots.give_back(worker);
+            return self.unsent(session, attempt, Outcome::Unreachable, worker);
+        };
+        let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
+        (exchange.server, exchange.attempt, exchange.up) = (Some((conn, worker)), attempt, Up::Passes);
+        let waiting = net.conn(exchange.client).map_or(0, |c| c.rx.len());
+        let done = exchange.decoder.is_done();
+        let Some(conn) = net.conn(conn) else { return };
+        if !conn.tx.push(&opening) {
+            return self.attempt_over(net, stream, Outcome::Unfit);
+        }
+        let held = conn.tx.len() + if done { 0 } else { waiting };
+        self.flow.pass(stream, Way::Up, held, now);
+        if done {
+            self.flow.ended(stream, Way::Up, now);
+        }
+    }
+
+    /// Tells the core of a dispatch of which nothing was sent.
+    fn unsent(&mut self, session: SessionId, attempt: usize, outcome: Outcome, worker: WorkerId) {
+        let report = self.slots.report(worker);
+        self.core.ended(session, attempt, outcome, report, Vec::new());
+    }
+
+    /// A connection to a backend server: an idle one that is whole, or a new one. None proves that nothing was sent.
+    fn acquire(&mut self, net: &mut Sockets, worker: WorkerId, stream: StreamId) -> Option<ConnId> {
+        let now = self.now();
+        while let Some(id) = self.pool.take(worker, now) {
+            // Guards against a connection that the peer has closed: a request written there would be lost.
+            if let Some(conn) = net.conn(id).filter(|conn| conn.is_fresh()) {
+                let base = conn.sent;
+                let server = Server { worker, stream: Some(stream), until: f64::INFINITY, base };
+                self.servers.insert(id, server);
+                return Some(id);
+            }
+            self.close_server(net, id);
+        }
+        // Idle connections to others make room: there is one for each stream that there may be.
+        while self.servers.len() >= self.config.bounds.total
+            && let Some(idle) = self.pool.oldest()
+        {
+            self.close_server(net, idle);
+        }
+        let address: SocketAddr = self.core.table().get(worker)?.line.address.parse().ok()?;
+        let id = net.open(address).ok()?;
+        let until = now + self.config.site.connect_timeout;
+        self.servers.insert(id, Server { worker, stream: Some(stream), until, base: 0 });
+        Some(id)
+    }
+
+    /// A dispatch is called off.
+    pub(super) fn cancel(&mut self, net: &mut Sockets, session: SessionId, attempt: usize) {
+        let Some(&stream) = self.sessions.get(&session) else { return };
+        let Some(exchange) = self.exchanges.get_mut(&stream).filter(|e| e.attempt == attempt) else { return };
+        (exchange.up, exchange.answer_by) = (Up::Rests, f64::INFINITY);
+        let now = self.now();
+        self.flow.rest(stream, Way::Up, now);
+        self.flow.rest(stream, Way::Down, now);
+        self.release(net, stream, false);
+    }
+
+    /// A connection has no dispatch any more.
+    pub(super) fn free_server(&mut self, net: &mut Sockets, id: ConnId, keep: bool) {
+        let now = self.now();
+        let (Some(server), Some(conn)) = (self.servers.get_mut(&id), net.conn(id)) else { return };
+        let whole = conn.rx.is_empty() && conn.tx.is_empty() && !(conn.eof || conn.broken || conn.mute);
+        if !(keep && whole) {
+            return self.close_server(net, id);
+        }
+        conn.rx.bound(HELD, 0);
+        (server.stream, server.until) = (None, f64::INFINITY);
+        self.pool.put(server.worker, id, now);
+    }
+
+    fn close_server(&mut self, net: &mut Sockets, id: ConnId) {
+        net.close(id);
+        if let Some(server) = self.servers.remove(&id) {
+            self.pool.remove(server.worker, id);
+        }
+    }
+
+    /// Closes idle connections to a backend server that has moved or was started again.
+    pub(super) fn drop_idle(&mut self, net: &mut Sockets, worker: WorkerId) {
+        while let Some(id) = self.pool.take(worker, f64::NEG_INFINITY) {
+            self.close_server(net, id);
+        }
+    }
+
+    pub(super) fn server_ready(&mut self, net: &mut Sockets, id: ConnId) {
+        let now = self.now();
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        // An idle one says something, or ends.
+        let Some(stream) = server.stream else { return self.close_server(net, id) };
+        let Some(conn) = net.conn(id) else { return };
+        if conn.connecting {
+            if conn.come_up() {
+                server.until = f64::INFINITY;
+            } else if conn.broken {
+                return self.broke(net, stream);
+            } else {
+                return;
+            }
+        }
+        self.flow.writable(stream, Way::Up, now);
+        if self.exchanges.get(&stream).is_some_and(|e| e.down.is_some()) {
+            self.flow.readable(stream, Way::Down, now);
+        } else {
+            self.read_answer(net, stream);
+        }
+    }
+
+    /// Reads what the server says before the answer's body.
+    pub(super) fn read_answer(&mut self, net: &mut Sockets, stream: StreamId) {
+        let to_head = self.is_to_head(stream);
+        loop {
+            let Some(exchange) = self.exchanges.get(&stream).filter(|e| e.down.is_none()) else { return };
+            let Some((id, _)) = exchange.server else { return };
+            let Some(conn) = net.conn(id) else { return };
+            let more = conn.read_some((HEAD + 1).saturating_sub(conn.rx.len()));
+            let ended = conn.eof || conn.broken;
+            match head::answer(&mut conn.rx, to_head) {
+                Ok(Some(answer)) if answer.status >= 200 => return self.begin_answer(net, stream, answer),
+                Ok(Some(answer)) => {
+                    if !self.interim(net, stream, &answer) {
+                        return self.attempt_over(net, stream, Outcome::Error);
+                    }
+                }
+                Ok(None) if more => {}
+                Ok(None) if ended => return self.broke(net, stream),
+                Ok(None) => return,
+                Err(_) => return self.attempt_over(net, stream, Outcome::Error),
+            }
+        }
+    }
+
+    /// The connection of a dispatch broke before an answer. Only where no byte of the dispatch was written is it sure
+    /// that it never ran: an HTTP server may begin with the first.
+    fn broke(&mut self, net: &mut Sockets, stream: StreamId) {
+        let id = self.exchanges.get(&stream).and_then(|e| e.server).map(|(id, _)| id);
+        let Some(id) = id else { return };
+        let base = self.servers.get(&id).map_or(0, |s| s.base);
+        let sent = net.conn(id).map_or(0, |c| c.sent);
+        let outcome = if sent > base { Outcome::Reset } else { Outcome::Unreachable };
+        self.attempt_over(net, stream, outcome);
+    }
+
+    pub(super) fn expire_servers(&mut self, net: &mut Sockets, now: f64) {
+        let over = self.servers.iter().filter(|(_, s)| s.until <= now).map(|(&id, s)| (id, s.stream));
+        let mut over: Vec<(ConnId, Option<StreamId>)> = over.collect();
+        over.sort_unstable_by_key(|&(id, _)| id);
+        for (id, stream) in over {
+            match stream {
+                // Only the connecting has a time limit of its own.
+                Some(stream) => self.broke(net, stream),
+                None => self.close_server(net, id),
+            }
+        }
+        for id in self.pool.expired(now) {
+            self.close_server(net, id);
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,27 +8,42 @@
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
+use clap::Parser;
 use micabeam::core::Clock;
 use micabeam::front::gearman::{self, Gearman};
 use micabeam::front::platform::{self, Platform};
-use micabeam::front::{Files, Gateway};
+use micabeam::front::stream::{self, Stream};
+use micabeam::front::{Configs, Files, Gateway};
 use micabeam::net::Net;
 use micabeam::say;
 
 /// Longest time between two rounds of the loop.
 const ROUND: f64 = 1000.0;
 
+/// Routes jobs to backend servers. The environment names the platform's configuration (LB_CONFIG, LB_LISTEN,
+/// LB_DISCOVERY); further fronts are set up in the operator's own file.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// The operator's file: TOML, with a table `stream`, `gearman` or both
+    #[arg(long, value_name = "FILE")]
+    operator: Option<String>,
+    /// The Gearman front's settings alone, as JSON
+    #[arg(long, value_name = "FILE")]
+    gearman: Option<String>,
+}
+
 fn main() -> ExitCode {
-    match run() {
+    match run(Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            say(message.replace('\n', " "));
+            message.lines().for_each(say);
             ExitCode::FAILURE
         }
     }
 }
 
-fn run() -> Result<(), String> {
+fn run(arguments: Arguments) -> Result<(), String> {
     let mut events: EventLoop<'static, Gateway> = EventLoop::try_new().map_err(|e| e.to_string())?;
     let handle = events.handle();
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
@@ -49,14 +64,16 @@
 
     let clock = Clock::system();
     let mut net = Net::new(handle);
-    let files = Files { config: std::env::var("LB_CONFIG").ok(), gearman: gearman_file()? };
-    let (config, file) = files.read()?;
-    if config.is_none() && file.is_none() {
-        return Err("LB_CONFIG names no configuration, and --gearman no operator's file".into());
+    let Arguments { operator, gearman } = arguments;
+    let files = Files { config: std::env::var("LB_CONFIG").ok(), gearman, operator };
+    let Configs { platform, gearman, stream } = files.read()?;
+    if platform.is_none() && gearman.is_none() && stream.is_none() {
+        return Err("LB_CONFIG names no configuration, and --operator or --gearman no operator's file".into());
     }
-    let gearman = file.map(|file| open_gearman(file, &mut net, &clock)).transpose()?;
-    let platform = config.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
-    let mut gateway = Gateway { net, platform, gearman, clock, files };
+    let gearman = gearman.map(|config| open_gearman(config, &mut net, &clock)).transpose()?;
+    let stream = stream.map(|config| open_stream(config, &mut net, &clock)).transpose()?;
+    let platform = platform.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
+    let mut gateway = Gateway { net, platform, gearman, stream, clock, files };
     gateway.tick();
     while !gateway.stopped() {
         let wait = (gateway.next() - gateway.clock.now()).clamp(0.0, ROUND);
@@ -73,14 +90,13 @@
     let _ = write!(std::io::stderr(), "{}", gateway.counters());
 }
 
-/// The operator's file of the Gearman front, as the command line names it.
-fn gearman_file() -> Result<Option<String>, String> {
-    let mut arguments = std::env::args().skip(1);
-    match (arguments.next().as_deref(), arguments.next(), arguments.next()) {
-        (None, ..) => Ok(None),
-        (Some("--gearman"), Some(file), None) => Ok(Some(file)),
-        _ => Err("usage: micabeam [--gearman FILE]".into()),
-    }
+fn open_stream(config: stream::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Stream, String> {
+    let listen = config.table.listen;
+    let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let _ = writeln!(std::io::stdout(), "micabeam: streams at {local}");
+    // Dispatchers of one installation draw differently.
+    let seed = clock.now() as u64 ^ u64::from(config.table.number) << 48;
+    Ok(Stream::new(config, seed, clock.clone(), listener))
 }
 
 fn open_gearman(config: gearman::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Gearman, String> {
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -29,6 +29,8 @@
     pub eof: bool,
     /// It is broken.
     pub broken: bool,
+    /// The peer takes nothing any more; what it has said can still be read.
+    pub mute: bool,
     /// It is to be closed once all is written.
     pub closing: bool,
     /// The peer has asked that the next answer be the last.
@@ -69,6 +71,7 @@
             connecting,
             eof: false,
             broken: false,
+            mute: false,
             closing: false,
             last: false,
             sent: 0,
@@ -111,12 +114,12 @@
     /// Writes bytes past the buffer, which must be empty, and tells how many the socket took. Not for TLS.
     pub fn write_some(&mut self, bytes: &[u8]) -> usize {
         let mut taken = 0;
-        while taken < bytes.len() && !self.broken {
+        while taken < bytes.len() && !(self.broken || self.mute) {
             match (&*self.stream).write(&bytes[taken..]) {
                 Ok(n) if n > 0 => taken += n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                _ => self.broken = true,
+                _ => self.mute = true,
             }
         }
         self.sent += taken as u64;
@@ -125,11 +128,17 @@
 
     /// Writes what is queued as far as the socket takes it.
     pub fn write_queued(&mut self) {
-        if !self.broken && self.flush().is_err() {
-            self.broken = true;
+        if !(self.broken || self.mute || self.connecting) && self.flush().is_err() {
+            self.mute = true;
         }
     }
 
+    /// Whether the peer has reset it, as far as the system knows without a read.
+    pub fn is_reset(&mut self) -> bool {
+        self.broken |= !matches!(self.stream.take_error(), Ok(None));
+        self.broken
+    }
+
     /// Has the peer see a break and not an end, for a message whose end only the connection's end would tell.
     pub fn break_off(&self) {
         let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -113,6 +113,14 @@
         self.conns.get_mut(&id)
     }
 
+    /// Two connections that are open, for bytes that go from one to the other.
+    pub fn pair(&mut self, one: ConnId, other: ConnId) -> Option<[&mut Conn; 2]> {
+        match self.conns.get_disjoint_mut([&one, &other]) {
+            [Some(one), Some(other)] => Some([one, other]),
+            _ => None,
+        }
+    }
+
     /// Queues bytes and writes what can be written. False where they do not fit or the connection is gone.
     pub fn write(&mut self, id: ConnId, bytes: &[u8]) -> bool {
         let Some(conn) = self.conns.get_mut(&id) else { return false };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -45,6 +45,21 @@
 }
 
 impl Site {
+    /// Settings that no wire has stated: one kind of worker, one zone, no load reports.
+    pub fn plain(settings: Settings, grades: Vec<Grade>) -> Site {
+        Site {
+            settings,
+            grades,
+            kinds: Vec::new(),
+            zones: Vec::new(),
+            tenants: Vec::new(),
+            conn_idle: 15_000.0,
+            connect_timeout: 250.0,
+            max_retry_after: 2_000.0,
+            fields: Vec::new(),
+        }
+    }
+
     /// Reads the settings from their text.
     pub fn parse(bytes: &[u8]) -> Result<Site, String> {
         Site::read(&json::parse(bytes).map_err(|e| format!("settings: {e}"))?)
