Stories of the stream front, and the rig that measures it against bare copy loops

The stories cause what the front is meant for: trickling and deaf clients, half closes, early answers, breaks in an answer, drains, full bounds, smuggling shapes, SIGTERM with 100 streams out. They found three faults: an idle connection was closed for news of bytes that were read already; a stream was cut when the time to connect was over, if the connection was found up by its turn and not by its event; and a break of an until-close answer went out as an orderly end. All three are mended.

The rig (workspace member, never built by the deploy file) has stand-in clients and servers that check every body by hash, a bare copy loop and a splice loop to compare with, and the experiments streams, ladder and dispatch.

--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,107 @@
+//! `micabeam-rig`: experiments with the real program among stand-ins.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use micabeam_rig::streams::{Plan, ladder};
+use micabeam_rig::{RigError, dispatch, streams};
+
+/// Experiments with the real program among stand-in peers, on loopback. The last line of each is figures, as
+/// key=value; it ends non-zero where its proof fails.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(Subcommand)]
+enum Experiment {
+    /// Long bodies at once, each checked by a hash at both ends, beside small requests
+    Streams {
+        /// Streams at once
+        #[arg(long, default_value_t = 200)]
+        count: usize,
+        /// Megabytes (10^6) of each
+        #[arg(long, default_value_t = 500)]
+        mb: u64,
+        /// So many of them have a slow peer
+        #[arg(long, default_value_t = 20)]
+        slow: usize,
+        /// Kilobytes a second of the slow
+        #[arg(long, default_value_t = 50)]
+        slow_kb_s: u64,
+        /// Megabytes of a stream with a slow peer; as the others where it is not given
+        #[arg(long)]
+        slow_mb: Option<u64>,
+        /// Least pace that the program asks of peers, in KiB a second
+        #[arg(long, default_value_t = 100)]
+        least_kb_s: u64,
+        /// Most resident memory, in MiB
+        #[arg(long, default_value_t = 64.0)]
+        ceiling_mb: f64,
+        /// Megabytes of each stream through the bare relays; 0 leaves them out
+        #[arg(long)]
+        bare_mb: Option<u64>,
+    },
+    /// The cost of 10, 100, 200 and 400 streams over the same bytes
+    Ladder {
+        /// Megabytes in all of each run
+        #[arg(long, default_value_t = 8000)]
+        mb: u64,
+    },
+    /// What slow uploads cost a server by when they are dispatched
+    Dispatch {
+        /// Uploads at once
+        #[arg(long, default_value_t = 20)]
+        count: usize,
+        /// Kilobytes a second of each
+        #[arg(long, default_value_t = 50)]
+        kb_s: u64,
+        /// Least pace that the program asks of peers, in KiB a second
+        #[arg(long, default_value_t = 8)]
+        least_kb_s: u64,
+    },
+}
+
+fn run(experiment: Experiment) -> Result<String, RigError> {
+    match experiment {
+        Experiment::Streams { count, mb, slow, slow_kb_s, slow_mb, least_kb_s, ceiling_mb, bare_mb } => {
+            let plan = Plan {
+                count,
+                bytes: mb * 1_000_000,
+                slow: slow.min(count),
+                slow_rate: slow_kb_s * 1000,
+                slow_bytes: slow_mb.unwrap_or(mb) * 1_000_000,
+                least_kb_s,
+                ceiling_mb,
+                bare_bytes: bare_mb.unwrap_or((mb / 10).max(1)) * 1_000_000,
+            };
+            let figures = streams::experiment(&plan)?;
+            let proved = figures.proves(&plan);
+            if let Err(e) = proved {
+                println!("{}", figures.line());
+                return Err(e);
+            }
+            Ok(figures.line())
+        }
+        Experiment::Ladder { mb } => ladder(mb),
+        Experiment::Dispatch { count, kb_s, least_kb_s } => {
+            dispatch::experiment(count, kb_s * 1000, least_kb_s)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().experiment) {
+        Ok(line) => {
+            println!("{line}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("micabeam-rig: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/peers.rs
@@ -0,0 +1,343 @@
+//! Stand-in clients and backend servers that speak HTTP/1.1 and stream bodies, each at a pace of its own.
+
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::body::Body;
+use crate::{RigError, tried};
+
+/// Longest wait for a byte: only a peer that hangs meets it.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Bytes of one read or write.
+const PIECE: usize = 128 * 1024;
+/// Stack of a peer's thread: hundreds of them run.
+const STACK: usize = 512 * 1024;
+
+/// Which way a body goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From the client to the server.
+    Up,
+    /// From the server to the client.
+    Down,
+}
+
+/// One stream, as its client asks for it. The path carries all that the server needs to know.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// The class, the first part of the path.
+    pub class: &'static str,
+    /// Which way the body goes.
+    pub way: Way,
+    /// The body.
+    pub body: Body,
+    /// It goes in chunks, without a length.
+    pub chunked: bool,
+    /// Bytes a second that the client moves at most; 0: as many as it can.
+    pub client_rate: u64,
+    /// Bytes a second that the server moves at most.
+    pub server_rate: u64,
+}
+
+/// What became of a stream, as its client sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// All of it came, and it is the right body.
+    Whole,
+    /// It failed, and the client can tell.
+    Clean(String),
+    /// It looks whole and is not, or never ends.
+    Broken(String),
+}
+
+/// Holds a transfer to a pace, by sleeping when it is ahead.
+struct Pacer {
+    rate: u64,
+    began: Instant,
+    moved: u64,
+}
+
+impl Pacer {
+    fn new(rate: u64) -> Pacer {
+        Pacer { rate, began: Instant::now(), moved: 0 }
+    }
+
+    /// Bytes of the next piece: a tenth of a second's at a pace.
+    fn piece(&self) -> usize {
+        if self.rate == 0 { PIECE } else { (self.rate / 10).max(1) as usize }
+    }
+
+    fn moved(&mut self, bytes: usize) {
+        self.moved += bytes as u64;
+        if self.rate > 0 {
+            let due = Duration::from_secs_f64(self.moved as f64 / self.rate as f64);
+            thread::sleep(due.saturating_sub(self.began.elapsed()));
+        }
+    }
+}
+
+fn send(out: &mut impl Write, body: Body, chunked: bool, rate: u64) -> io::Result<()> {
+    let (mut at, mut pacer) = (0, Pacer::new(rate));
+    while at < body.size {
+        let piece = body.piece(at, pacer.piece());
+        if chunked {
+            out.write_all(format!("{:x};n={at}\r\n", piece.len()).as_bytes())?;
+            out.write_all(piece)?;
+            out.write_all(b"\r\n")?;
+        } else {
+            out.write_all(piece)?;
+        }
+        at += piece.len() as u64;
+        pacer.moved(piece.len());
+    }
+    if chunked { out.write_all(b"0\r\nRig-Size: told\r\n\r\n") } else { Ok(()) }
+}
+
+struct Received {
+    hash: u64,
+    size: u64,
+    whole: bool,
+}
+
+/// Reads a body: by its length, by its chunks where there is none.
+fn receive(from: &mut BufReader<TcpStream>, length: Option<u64>, rate: u64) -> io::Result<Received> {
+    let (mut hash, mut size, mut pacer) = (Xxh3::new(), 0, Pacer::new(rate));
+    let mut buffer = vec![0; PIECE];
+    let mut take = |from: &mut BufReader<TcpStream>, mut left: u64| -> io::Result<bool> {
+        while left > 0 {
+            let most = pacer.piece().min(buffer.len()).min(usize::try_from(left).unwrap_or(usize::MAX));
+            match from.read(&mut buffer[..most]) {
+                Ok(0) => return Ok(false),
+                Ok(n) => {
+                    hash.update(&buffer[..n]);
+                    (size, left) = (size + n as u64, left - n as u64);
+                    pacer.moved(n);
+                }
+                // A reset is an end that can be seen.
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => return Ok(false),
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(true)
+    };
+    let whole = match length {
+        Some(length) => take(from, length)?,
+        None => loop {
+            let mut line = String::new();
+            if from.read_line(&mut line).unwrap_or(0) == 0 {
+                break false;
+            }
+            let count = line.trim().split(';').next().and_then(|n| u64::from_str_radix(n, 16).ok());
+            let Some(count) = count else { return Err(ErrorKind::InvalidData.into()) };
+            if count == 0 {
+                break headers(from)?.is_some();
+            }
+            if !take(from, count)? || from.read_line(&mut String::new())? == 0 {
+                break false;
+            }
+        },
+    };
+    Ok(Received { hash: hash.digest(), size, whole })
+}
+
+/// A head without its first line, or trailers; none where the end came first.
+fn headers(from: &mut BufReader<TcpStream>) -> io::Result<Option<Vec<(String, String)>>> {
+    let mut out = Vec::new();
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line)? == 0 {
+            return Ok(None);
+        }
+        match line.trim().split_once(':') {
+            Some((name, value)) => out.push((name.to_ascii_lowercase(), value.trim().to_string())),
+            None => return Ok(Some(out)),
+        }
+    }
+}
+
+fn header(headers: &[(String, String)], name: &str) -> Option<u64> {
+    headers.iter().find(|(n, _)| n == name).and_then(|(_, v)| v.parse().ok())
+}
+
+impl Ask {
+    fn path(&self) -> String {
+        let way = if self.way == Way::Up { "up" } else { "down" };
+        let Body { seed, size } = self.body;
+        format!("/{}/{way}/{size}/{seed}/{}/{}", self.class, u8::from(self.chunked), self.server_rate)
+    }
+
+    fn of_path(path: &str) -> Option<Ask> {
+        let mut parts = path.trim_start_matches('/').split('/').skip(1);
+        let way = if parts.next()? == "up" { Way::Up } else { Way::Down };
+        let mut number = || parts.next()?.parse::<u64>().ok();
+        let (size, seed) = (number()?, number()?);
+        let (chunked, server_rate) = (number()? == 1, number()?);
+        Some(Ask { class: "", way, body: Body { seed, size }, chunked, client_rate: 0, server_rate })
+    }
+
+    /// Runs the stream over a connection of its own, or one that is kept.
+    pub fn run(&self, address: SocketAddr) -> End {
+        match connect(address) {
+            Ok(stream) => self.over(&mut BufReader::new(stream)),
+            Err(e) => End::Clean(format!("no connection: {e}")),
+        }
+    }
+
+    /// Runs the stream over a connection.
+    pub fn over(&self, peer: &mut BufReader<TcpStream>) -> End {
+        match self.try_over(peer) {
+            Ok(end) => end,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                End::Broken("nothing came".into())
+            }
+            Err(e) => End::Clean(e.to_string()),
+        }
+    }
+
+    fn try_over(&self, peer: &mut BufReader<TcpStream>) -> io::Result<End> {
+        let method = if self.way == Way::Up { "PUT" } else { "GET" };
+        let mut head = format!("{method} {} HTTP/1.1\r\nHost: rig\r\n", self.path());
+        match (self.way, self.chunked) {
+            (Way::Up, true) => head.push_str("Transfer-Encoding: chunked\r\n"),
+            (Way::Up, false) => head.push_str(&format!("Content-Length: {}\r\n", self.body.size)),
+            _ => {}
+        }
+        head.push_str("\r\n");
+        peer.get_mut().write_all(head.as_bytes())?;
+        if self.way == Way::Up {
+            // An early answer, or a cut: what came of it is read below.
+            let _ = send(peer.get_mut(), self.body, self.chunked, self.client_rate);
+        }
+        let mut line = String::new();
+        if peer.read_line(&mut line)? == 0 {
+            return Ok(End::Clean("cut before an answer".into()));
+        }
+        let Some(headers) = headers(peer)? else { return Ok(End::Clean("cut in the answer's head".into())) };
+        let length = header(&headers, "content-length");
+        let rate = if self.way == Way::Down { self.client_rate } else { 0 };
+        let got = receive(peer, length, rate)?;
+        let status = line.split(' ').nth(1).unwrap_or("");
+        if !got.whole {
+            return Ok(End::Clean(format!("cut after {} bytes", got.size)));
+        }
+        if status != "200" {
+            return Ok(End::Clean(format!("status {status}")));
+        }
+        let (size, hash) = match self.way {
+            Way::Down => (got.size, got.hash),
+            // The server tells what it got.
+            Way::Up => {
+                let size = header(&headers, "rig-size").unwrap_or(0);
+                let hash =
+                    headers.iter().find(|(n, _)| n == "rig-hash").map(|(_, v)| v.as_str()).unwrap_or("");
+                (size, u64::from_str_radix(hash, 16).unwrap_or(0))
+            }
+        };
+        if (size, hash) == (self.body.size, self.body.hash()) {
+            Ok(End::Whole)
+        } else {
+            Ok(End::Broken(format!("{size} bytes of {} with another hash", self.body.size)))
+        }
+    }
+}
+
+/// A connection that waits long and no longer.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    Ok(stream)
+}
+
+/// What a stand-in server has seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Requests whose head came.
+    pub requests: AtomicU64,
+    /// Time that requests have taken, from the first byte to the answer's last, in microseconds.
+    pub busy_us: AtomicU64,
+    /// Request bodies that came whole and were not what their path says.
+    pub wrong: AtomicU64,
+}
+
+/// Starts a stand-in server; it runs until the process ends.
+pub fn serve() -> Result<(SocketAddr, Arc<Seen>), RigError> {
+    let listener = tried("a stand-in server", TcpListener::bind("127.0.0.1:0"))?;
+    let address = tried("a stand-in server", listener.local_addr())?;
+    let seen = Arc::new(Seen::default());
+    let shared = Arc::clone(&seen);
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let seen = Arc::clone(&shared);
+            spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let _ = stream.set_read_timeout(Some(PATIENCE));
+                let _ = stream.set_write_timeout(Some(PATIENCE));
+                let mut peer = BufReader::new(stream);
+                while matches!(answer(&mut peer, &seen), Ok(true)) {}
+            });
+        }
+    });
+    Ok((address, seen))
+}
+
+/// Starts a thread of the rig's.
+pub fn spawn<T: Send + 'static>(run: impl FnOnce() -> T + Send + 'static) -> thread::JoinHandle<T> {
+    // The system has no thread left: there is nothing to measure then.
+    thread::Builder::new().stack_size(STACK).spawn(run).expect("a thread starts")
+}
+
+/// Answers one request; false at the end of the connection.
+fn answer(peer: &mut BufReader<TcpStream>, seen: &Seen) -> io::Result<bool> {
+    let mut line = String::new();
+    if peer.read_line(&mut line)? == 0 {
+        return Ok(false);
+    }
+    let began = Instant::now();
+    seen.requests.fetch_add(1, Ordering::Relaxed);
+    let Some(headers) = headers(peer)? else { return Ok(false) };
+    let Some(ask) = line.split(' ').nth(1).and_then(Ask::of_path) else {
+        peer.get_mut().write_all(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")?;
+        return Ok(true);
+    };
+    let result = answer_ask(peer, &headers, ask, seen);
+    seen.busy_us.fetch_add(began.elapsed().as_micros() as u64, Ordering::Relaxed);
+    result
+}
+
+fn answer_ask(
+    peer: &mut BufReader<TcpStream>,
+    headers: &[(String, String)],
+    ask: Ask,
+    seen: &Seen,
+) -> io::Result<bool> {
+    if ask.way == Way::Up {
+        let got = receive(peer, header(headers, "content-length"), ask.server_rate)?;
+        if !got.whole {
+            return Ok(false);
+        }
+        if got.size != ask.body.size {
+            seen.wrong.fetch_add(1, Ordering::Relaxed);
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRig-Size: {}\r\nRig-Hash: {:x}\r\nContent-Length: 0\r\n\r\n",
+            got.size, got.hash
+        );
+        peer.get_mut().write_all(head.as_bytes())?;
+        return Ok(true);
+    }
+    let framing = match ask.chunked {
+        true => "Transfer-Encoding: chunked".to_string(),
+        false => format!("Content-Length: {}", ask.body.size),
+    };
+    peer.get_mut().write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes())?;
+    send(peer.get_mut(), ask.body, ask.chunked, ask.server_rate)?;
+    Ok(true)
+}
--- /dev/null
+++ b/rig/src/relay.rs
@@ -0,0 +1,184 @@
+//! What the program is measured against: bare loops that copy bytes between two sockets, in one thread, with no
+//! framing, no limits and no decisions. One copies through a buffer, one moves pages by `splice`.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::pipe::{PipeFlags, SpliceFlags, pipe_with, splice};
+
+use crate::peers::spawn;
+use crate::{RigError, tried};
+
+/// Bytes of the buffer, and moved by one splice.
+const BUFFER: usize = 64 * 1024;
+const LISTENER: u64 = u64::MAX;
+
+/// How bytes are moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Through a buffer of the process.
+    Copy,
+    /// Through a pipe of the system, without a copy into the process.
+    Splice,
+}
+
+/// One direction of a pair.
+struct Lane {
+    buffer: Vec<u8>,
+    at: usize,
+    pipe: Option<(OwnedFd, OwnedFd)>,
+    piped: usize,
+    ended: bool,
+    shut: bool,
+}
+
+impl Lane {
+    fn new(mode: Mode) -> Result<Lane, RigError> {
+        let pipe = match mode {
+            Mode::Copy => None,
+            Mode::Splice => {
+                let pipe = pipe_with(PipeFlags::NONBLOCK | PipeFlags::CLOEXEC).map_err(Into::into);
+                let (read, write) = tried("a pipe", pipe)?;
+                Some((read, write))
+            }
+        };
+        Ok(Lane { buffer: Vec::new(), at: 0, pipe, piped: 0, ended: false, shut: false })
+    }
+
+    /// Moves bytes until one side would wait, or others should have their turn. True where it has more to do.
+    fn turn(&mut self, mut from: &TcpStream, mut to: &TcpStream) -> std::io::Result<bool> {
+        for _ in 0..2 {
+            if let Some((read, write)) = &self.pipe {
+                let flags = SpliceFlags::NONBLOCK | SpliceFlags::MOVE;
+                if self.piped == 0 && !self.ended {
+                    match splice(from, None, write, None, BUFFER, flags) {
+                        Ok(0) => self.ended = true,
+                        Ok(n) => self.piped = n,
+                        Err(rustix::io::Errno::AGAIN) => return Ok(false),
+                        Err(e) => return Err(e.into()),
+                    }
+                }
+                while self.piped > 0 {
+                    match splice(read, None, to, None, self.piped, flags) {
+                        Ok(n) => self.piped -= n,
+                        Err(rustix::io::Errno::AGAIN) => return Ok(false),
+                        Err(e) => return Err(e.into()),
+                    }
+                }
+            } else {
+                if self.at == self.buffer.len() && !self.ended {
+                    self.buffer.resize(BUFFER, 0);
+                    self.at = 0;
+                    match from.read(&mut self.buffer) {
+                        Ok(0) => self.ended = true,
+                        Ok(n) => self.buffer.truncate(n),
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                            self.buffer.clear();
+                            return Ok(false);
+                        }
+                        Err(e) => return Err(e),
+                    }
+                    if self.ended {
+                        self.buffer.clear();
+                    }
+                }
+                while self.at < self.buffer.len() {
+                    match to.write(&self.buffer[self.at..]) {
+                        Ok(n) => self.at += n,
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                        Err(e) => return Err(e),
+                    }
+                }
+            }
+            if self.ended {
+                if !std::mem::replace(&mut self.shut, true) {
+                    let _ = to.shutdown(Shutdown::Write);
+                }
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+}
+
+struct Pair {
+    client: TcpStream,
+    server: TcpStream,
+    up: Lane,
+    down: Lane,
+}
+
+/// Starts a bare relay to a server; it runs until the process ends.
+pub fn start(to: SocketAddr, mode: Mode) -> Result<SocketAddr, RigError> {
+    let listener = tried("the bare relay", TcpListener::bind("127.0.0.1:0"))?;
+    tried("the bare relay", listener.set_nonblocking(true))?;
+    let address = tried("the bare relay", listener.local_addr())?;
+    spawn(move || {
+        if let Err(e) = run(&listener, to, mode) {
+            eprintln!("the bare relay ended: {e}");
+        }
+    });
+    Ok(address)
+}
+
+fn watch(poll: &OwnedFd, stream: &TcpStream, number: u64) -> std::io::Result<()> {
+    stream.set_nonblocking(true)?;
+    stream.set_nodelay(true)?;
+    let flags = EventFlags::IN | EventFlags::OUT | EventFlags::ET;
+    Ok(epoll::add(poll, stream, EventData::new_u64(number), flags)?)
+}
+
+fn run(listener: &TcpListener, to: SocketAddr, mode: Mode) -> Result<(), RigError> {
+    let poll = tried("epoll", epoll::create(CreateFlags::CLOEXEC).map_err(Into::into))?;
+    let added = epoll::add(&poll, listener, EventData::new_u64(LISTENER), EventFlags::IN);
+    tried("epoll", added.map_err(Into::into))?;
+    let (mut pairs, mut last) = (BTreeMap::<u64, Pair>::new(), 0);
+    let mut ready: VecDeque<u64> = VecDeque::new();
+    let mut events = Vec::with_capacity(256);
+    loop {
+        events.clear();
+        let wait = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        let wait = if ready.is_empty() { None } else { Some(&wait) };
+        match epoll::wait(&poll, rustix::buffer::spare_capacity(&mut events), wait) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(e) => return tried("epoll", Err(e.into())),
+        }
+        for event in &events {
+            match event.data.u64() {
+                LISTENER => {
+                    while let Ok((client, _)) = listener.accept() {
+                        let server = tried("its server", TcpStream::connect(to))?;
+                        last += 1;
+                        tried(
+                            "epoll",
+                            watch(&poll, &client, last).and_then(|()| watch(&poll, &server, last)),
+                        )?;
+                        let (up, down) = (Lane::new(mode)?, Lane::new(mode)?);
+                        pairs.insert(last, Pair { client, server, up, down });
+                        ready.push_back(last);
+                    }
+                }
+                pair if !ready.contains(&pair) => ready.push_back(pair),
+                _ => {}
+            }
+        }
+        // One turn each, then the events again.
+        for _ in 0..ready.len() {
+            let Some(number) = ready.pop_front() else { break };
+            let Some(pair) = pairs.get_mut(&number) else { continue };
+            let up = pair.up.turn(&pair.client, &pair.server);
+            let down = pair.down.turn(&pair.server, &pair.client);
+            match (up, down) {
+                (Ok(up), Ok(down)) if !(pair.up.shut && pair.down.shut) => {
+                    if up || down {
+                        ready.push_back(number);
+                    }
+                }
+                _ => drop(pairs.remove(&number)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/streams.rs
@@ -0,0 +1,331 @@
+//! Experiment `streams`: many long bodies at once through the real program, some of whose peers are slow, beside
+//! small requests.
+
+use std::collections::BTreeMap;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Barrier};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+
+use crate::RigError;
+use crate::body::Body;
+use crate::peers::{Ask, End, Way, connect, serve, spawn};
+use crate::program::{Program, build};
+use crate::relay::{Mode, start};
+
+/// Stand-in servers that share the streams.
+const SERVERS: usize = 4;
+/// Time between two small requests.
+const SMALL: Duration = Duration::from_millis(10);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Streams at once.
+    pub count: usize,
+    /// Bytes of each.
+    pub bytes: u64,
+    /// So many of them have a slow peer: a client, or a server, in turn.
+    pub slow: usize,
+    /// Bytes a second of the slow.
+    pub slow_rate: u64,
+    /// Bytes of a stream with a slow peer.
+    pub slow_bytes: u64,
+    /// The least pace that the program asks for, in KiB a second.
+    pub least_kb_s: u64,
+    /// The most resident memory, in MiB.
+    pub ceiling_mb: f64,
+    /// Bytes of each stream through the bare relays; 0: they are not run.
+    pub bare_bytes: u64,
+}
+
+/// What it came to.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// Streams.
+    pub streams: usize,
+    /// Whole.
+    pub completed: usize,
+    /// Failed so that the client can tell.
+    pub failed_clean: usize,
+    /// Neither.
+    pub broken: usize,
+    /// Peak resident memory in MiB.
+    pub peak_rss_mb: f64,
+    /// Throughput against the bare copy loop's; 0 where that was not run.
+    pub relay_ratio: f64,
+    /// The same against splice.
+    pub splice_ratio: f64,
+    /// Megabytes (10^6) a second of the streams without a slow peer.
+    pub mb_s: f64,
+    /// Processor seconds for 10^9 bytes.
+    pub cpu_s_gb: f64,
+    /// Of small requests beside the streams, in milliseconds.
+    pub small_p50_ms: f64,
+    /// Of small requests beside the streams, in milliseconds.
+    pub small_p99_ms: f64,
+}
+
+impl Figures {
+    /// The last line.
+    pub fn line(&self) -> String {
+        format!(
+            "streams={} completed={} failed_clean={} broken={} peak_rss_mb={:.1} relay_ratio={:.2} \
+             splice_ratio={:.2} mb_s={:.0} cpu_s_gb={:.2} small_p50_ms={:.2} small_p99_ms={:.2}",
+            self.streams,
+            self.completed,
+            self.failed_clean,
+            self.broken,
+            self.peak_rss_mb,
+            self.relay_ratio,
+            self.splice_ratio,
+            self.mb_s,
+            self.cpu_s_gb,
+            self.small_p50_ms,
+            self.small_p99_ms
+        )
+    }
+
+    /// Whether the proof holds.
+    pub fn proves(&self, plan: &Plan) -> Result<(), RigError> {
+        let fast = plan.count - plan.slow;
+        if self.broken > 0 || self.completed + self.failed_clean != self.streams {
+            return Err(RigError::Disproved(format!(
+                "{} streams are neither whole nor cleanly failed",
+                self.broken
+            )));
+        }
+        if self.completed < fast {
+            return Err(RigError::Disproved(format!("{} of {fast} fast streams came whole", self.completed)));
+        }
+        if self.peak_rss_mb > plan.ceiling_mb {
+            return Err(RigError::Disproved(format!("{:.1} MiB resident at the peak", self.peak_rss_mb)));
+        }
+        Ok(())
+    }
+}
+
+/// The operator's file for so many streams over these servers.
+pub fn operator(servers: &[SocketAddr], count: usize, least_kb_s: u64, dispatch: &str) -> String {
+    let servers: Vec<String> = servers
+        .iter()
+        .enumerate()
+        .map(|(at, dial)| format!("{{ name = \"server-{at}\", dial = \"{dial}\" }}"))
+        .collect();
+    let class = |name: &str| {
+        format!(
+            "[[stream.class]]\nname = \"{name}\"\nrepeat = \"never\"\nbody_mb = 65536\nwait_s = 5\n\
+             least_kb_s = {least_kb_s}\nover_s = 5\nsilence_s = 20\ndispatch = \"{dispatch}\"\n"
+        )
+    };
+    format!(
+        "[stream]\nlisten = \"127.0.0.1:0\"\nconnections = {}\nmemory_mb = {}\nservers = [{}]\n\
+         [stream.streams]\ntotal = {}\ntenant = {}\nserver = {}\n{}{}",
+        count + 64,
+        16 + count / 10,
+        servers.join(", "),
+        count + 16,
+        count + 16,
+        count + 16,
+        class("long"),
+        class("small"),
+    )
+}
+
+/// The streams of a plan.
+fn asks(plan: &Plan) -> Vec<Ask> {
+    let ask = |at: usize| {
+        let slow = at < plan.slow;
+        let way = if (at / 2).is_multiple_of(2) { Way::Up } else { Way::Down };
+        let size = if slow { plan.slow_bytes } else { plan.bytes };
+        let (client, server) = if at.is_multiple_of(2) { (plan.slow_rate, 0) } else { (0, plan.slow_rate) };
+        let (client_rate, server_rate) = if slow { (client, server) } else { (0, 0) };
+        let body = Body { seed: at as u64 + 1, size };
+        Ask { class: "long", way, body, chunked: at % 5 == 4, client_rate, server_rate }
+    };
+    (0..plan.count).map(ask).collect()
+}
+
+struct Run {
+    ends: Vec<(Ask, End)>,
+    /// Seconds from the common start to the end of the last stream without a slow peer.
+    took: f64,
+}
+
+/// Runs streams, all begun at once.
+fn run(asks: Vec<Ask>, address: SocketAddr) -> Run {
+    let barrier = Arc::new(Barrier::new(asks.len() + 1));
+    let threads: Vec<_> = asks
+        .into_iter()
+        .map(|ask| {
+            let barrier = Arc::clone(&barrier);
+            spawn(move || {
+                barrier.wait();
+                let end = ask.run(address);
+                (ask, end, Instant::now())
+            })
+        })
+        .collect();
+    barrier.wait();
+    let began = Instant::now();
+    let ended: Vec<_> = threads.into_iter().filter_map(|t| t.join().ok()).collect();
+    let fast = ended.iter().filter(|(ask, ..)| ask.client_rate + ask.server_rate == 0);
+    let took = fast.map(|(.., at)| at.duration_since(began).as_secs_f64()).fold(0.0, f64::max);
+    Run { ends: ended.into_iter().map(|(ask, end, _)| (ask, end)).collect(), took }
+}
+
+fn rate(run: &Run) -> f64 {
+    let fast =
+        run.ends.iter().filter(|(ask, end)| ask.client_rate + ask.server_rate == 0 && *end == End::Whole);
+    fast.map(|(ask, _)| ask.body.size as f64).sum::<f64>() / run.took.max(1e-9) / 1e6
+}
+
+/// Sends small requests over a kept connection until told to stop; their times in microseconds.
+fn small(address: SocketAddr, stop: &AtomicBool) -> Histogram<u64> {
+    let mut times = Histogram::new(3).expect("three digits are a precision");
+    let mut peer = None;
+    let mut at = 0u64;
+    while !stop.load(Ordering::Relaxed) {
+        at += 1;
+        let way = if at.is_multiple_of(2) { Way::Up } else { Way::Down };
+        let body = Body { seed: at, size: 500 };
+        let ask = Ask { class: "small", way, body, chunked: false, client_rate: 0, server_rate: 0 };
+        let began = Instant::now();
+        let over = peer.take().or_else(|| connect(address).ok().map(BufReader::new));
+        let Some(mut over) = over else { continue };
+        if ask.over(&mut over) == End::Whole {
+            times.saturating_record(began.elapsed().as_micros() as u64);
+            peer = Some(over);
+        } else {
+            // One that failed counts as the longest wait there is.
+            times.saturating_record(60_000_000);
+        }
+        std::thread::sleep(SMALL);
+    }
+    times
+}
+
+/// Runs the experiment and prints its table.
+pub fn experiment(plan: &Plan) -> Result<Figures, RigError> {
+    let binary = build()?;
+    let servers: Vec<_> = (0..SERVERS).map(|_| serve()).collect::<Result<_, _>>()?;
+    let addresses: Vec<SocketAddr> = servers.iter().map(|(address, _)| *address).collect();
+    let file = operator(&addresses, plan.count, plan.least_kb_s, "prefix");
+    let program = Program::start(&binary, &file, 1)?;
+    let address = program.addresses[0];
+    let before = program.usage()?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let probe = Arc::clone(&stop);
+    let probe = spawn(move || small(address, &probe));
+    let ran = run(asks(plan), address);
+    stop.store(true, Ordering::Relaxed);
+    let times = probe.join().map_err(|_| RigError::Program("small requests ended badly".into()))?;
+    let after = program.usage()?;
+    let counters: BTreeMap<String, f64> = program.stop()?.into_iter().collect();
+    let mut figures = Figures { streams: ran.ends.len(), mb_s: rate(&ran), ..Figures::default() };
+    figures.peak_rss_mb = after.peak_rss_mb;
+    let bytes = counters.get("bytes_up").unwrap_or(&0.0) + counters.get("bytes_down").unwrap_or(&0.0);
+    figures.cpu_s_gb = (after.cpu_s - before.cpu_s) / (bytes / 1e9).max(1e-9);
+    figures.small_p50_ms = times.value_at_quantile(0.5) as f64 / 1e3;
+    figures.small_p99_ms = times.value_at_quantile(0.99) as f64 / 1e3;
+    table(&ran, &mut figures);
+    let wrong: u64 = servers.iter().map(|(_, seen)| seen.wrong.load(Ordering::Relaxed)).sum();
+    figures.broken += wrong as usize;
+    println!("small requests beside them: {}, longest {:.1} ms", times.len(), times.max() as f64 / 1e3);
+    println!("the program: {:.1} s of processor time, {:.1} MiB at the peak", after.cpu_s, after.peak_rss_mb);
+    let names =
+        ["taken", "served", "denied", "failed", "left", "whole", "cut", "slow_clients", "slow_servers"];
+    let told: Vec<String> =
+        names.iter().map(|n| format!("{n} {}", counters.get(*n).copied().unwrap_or(-1.0))).collect();
+    println!("its counters: {}", told.join(", "));
+    if plan.bare_bytes > 0 {
+        let [copy, splice] = [Mode::Copy, Mode::Splice].map(|mode| bare(plan, addresses[0], mode));
+        let (copy, splice) = (copy?, splice?);
+        // The program over the same bytes, so that the two are alike in all but what stands between.
+        let program = Program::start(&binary, &file, 1)?;
+        let same = rate(&run(bare_asks(plan), program.addresses[0]));
+        program.stop()?;
+        println!("bare copy loop {copy:.0} MB/s, splice {splice:.0} MB/s, the program {same:.0} MB/s");
+        figures.relay_ratio = same / copy;
+        figures.splice_ratio = same / splice;
+    }
+    Ok(figures)
+}
+
+fn bare_asks(plan: &Plan) -> Vec<Ask> {
+    asks(&Plan { slow: 0, bytes: plan.bare_bytes, ..plan.clone() })
+}
+
+fn bare(plan: &Plan, to: SocketAddr, mode: Mode) -> Result<f64, RigError> {
+    let ran = run(bare_asks(plan), start(to, mode)?);
+    match ran.ends.iter().find(|(_, end)| *end != End::Whole) {
+        Some((ask, end)) => Err(RigError::Disproved(format!("a bare relay failed {ask:?}: {end:?}"))),
+        None => Ok(rate(&ran)),
+    }
+}
+
+/// Counts the ends by group, and prints them.
+fn table(ran: &Run, figures: &mut Figures) {
+    let mut groups: BTreeMap<String, (usize, usize, usize, Vec<String>)> = BTreeMap::new();
+    for (ask, end) in &ran.ends {
+        let peers = match (ask.client_rate, ask.server_rate) {
+            (0, 0) => "fast",
+            (0, _) => "slow server",
+            _ => "slow client",
+        };
+        let group = groups.entry(format!("{peers}, {:?}", ask.way)).or_default();
+        match end {
+            End::Whole => group.0 += 1,
+            End::Clean(why) => {
+                group.1 += 1;
+                group.3.push(why.clone());
+            }
+            End::Broken(why) => {
+                group.2 += 1;
+                group.3.push(why.clone());
+            }
+        }
+    }
+    println!("{:<20} {:>9} {:>12} {:>7}", "peers, way", "completed", "failed_clean", "broken");
+    for (name, (whole, clean, broken, why)) in &groups {
+        let why = why.first().map(|w| format!("  ({w})")).unwrap_or_default();
+        println!("{name:<20} {whole:>9} {clean:>12} {broken:>7}{why}");
+        figures.completed += whole;
+        figures.failed_clean += clean;
+        figures.broken += broken;
+    }
+    println!("{:.0} MB/s in {:.1} s", figures.mb_s, ran.took);
+}
+
+/// The cost of more and more streams over the same bytes in all.
+pub fn ladder(total_mb: u64) -> Result<String, RigError> {
+    let mut last = String::new();
+    println!(
+        "{:>8} {:>9} {:>10} {:>12} {:>12}",
+        "streams", "MB/s", "CPU s/GB", "small p99 ms", "peak RSS MiB"
+    );
+    for count in [10, 100, 200, 400] {
+        let bytes = total_mb * 1_000_000 / count as u64;
+        let plan = Plan {
+            count,
+            bytes,
+            slow: 0,
+            slow_rate: 0,
+            slow_bytes: 0,
+            least_kb_s: 8,
+            ceiling_mb: 64.0,
+            bare_bytes: 0,
+        };
+        let f = experiment(&plan)?;
+        f.proves(&plan)?;
+        last.push_str(&format!("mb_s_{count}={:.0} cpu_s_gb_{count}={:.2} ", f.mb_s, f.cpu_s_gb));
+        println!(
+            "{count:>8} {:>9.0} {:>10.2} {:>12.2} {:>12.1}\n",
+            f.mb_s, f.cpu_s_gb, f.small_p99_ms, f.peak_rss_mb
+        );
+    }
+    Ok(last.trim_end().to_string())
+}
--- a/src/front/stream/servers.rs
+++ b/src/front/stream/servers.rs
@@ -125,18 +125,22 @@
     pub(super) fn server_ready(&mut self, net: &mut Sockets, id: ConnId) {
         let now = self.now();
         let Some(server) = self.servers.get_mut(&id) else { return };
-        // An idle one says something, or ends.
-        let Some(stream) = server.stream else { return self.close_server(net, id) };
-        let Some(conn) = net.conn(id) else { return };
-        if conn.connecting {
-            if conn.come_up() {
-                server.until = f64::INFINITY;
-            } else if conn.broken {
-                return self.broke(net, stream);
-            } else {
-                return;
+        let (stream, Some(conn)) = (server.stream, net.conn(id)) else { return };
+        let Some(stream) = stream else {
+            // An idle one that says something, or ends. What was told of bytes that were read meanwhile is neither.
+            if !conn.is_fresh() {
+                self.close_server(net, id);
             }
+            return;
+        };
+        if conn.connecting && !conn.come_up() {
+            if conn.broken {
+                self.broke(net, stream);
+            }
+            return;
         }
+        // It may have been found up elsewhere: the time to connect is over all the same.
+        server.until = f64::INFINITY;
         self.flow.writable(stream, Way::Up, now);
         if self.exchanges.get(&stream).is_some_and(|e| e.down.is_some()) {
             self.flow.readable(stream, Way::Down, now);
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -31,6 +31,7 @@
     pub broken: bool,
     /// The peer takes nothing any more; what it has said can still be read.
     pub mute: bool,
+    aborts: bool,
     /// It is to be closed once all is written.
     pub closing: bool,
     /// The peer has asked that the next answer be the last.
@@ -72,6 +73,7 @@
             eof: false,
             broken: false,
             mute: false,
+            aborts: false,
             closing: false,
             last: false,
             sent: 0,
@@ -140,7 +142,8 @@
     }
 
     /// Has the peer see a break and not an end, for a message whose end only the connection's end would tell.
-    pub fn break_off(&self) {
+    pub fn break_off(&mut self) {
+        self.aborts = true;
         let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
     }
 
@@ -245,7 +248,10 @@
 
     /// Ends it. Bytes that are written already still go out.
     pub fn shut(&self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
+        // An orderly end would come before the break.
+        if !self.aborts {
+            let _ = self.stream.shutdown(Shutdown::Both);
+        }
     }
 }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -36,26 +36,41 @@
 /// The program, killed when the story ends.
 pub struct Program {
     pub child: Child,
-    /// Its configuration and its operator's file, where it has them.
-    pub files: [Option<PathBuf>; 2],
+    /// Its configuration, its Gearman file and its operator's file, where it has them.
+    pub files: [Option<PathBuf>; 3],
     out: BufReader<ChildStdout>,
     pub err: BufReader<ChildStderr>,
 }
 
 impl Program {
     pub fn start(config: Option<&str>, gearman: Option<&str>) -> Program {
+        Program::with(config, gearman, None)
+    }
+
+    /// The program with an operator's file.
+    pub fn operator(text: &str) -> Program {
+        Program::with(None, None, Some(text))
+    }
+
+    fn with(config: Option<&str>, gearman: Option<&str>, operator: Option<&str>) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_micabeam"));
         for variable in ["LB_CONFIG", "LB_LISTEN", "LB_DISCOVERY", "LB_NAME"] {
             command.env_remove(variable);
         }
-        let files =
-            [config.map(|text| file("config.json", text)), gearman.map(|text| file("gearman.json", text))];
+        let files = [
+            config.map(|text| file("config.json", text)),
+            gearman.map(|text| file("gearman.json", text)),
+            operator.map(|text| file("operator.toml", text)),
+        ];
         if let Some(config) = &files[0] {
             command.env("LB_CONFIG", config);
         }
         if let Some(gearman) = &files[1] {
             command.arg("--gearman").arg(gearman);
         }
+        if let Some(operator) = &files[2] {
+            command.arg("--operator").arg(operator);
+        }
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
         let out = BufReader::new(child.stdout.take().unwrap());
         let err = BufReader::new(child.stderr.take().unwrap());
