Measure a second server anew; tell clients beyond the bound; docs of the stream front

Reread after the measurements: a server tried after one that was too slow began with that one's time and was given up at once; a client whose refusal found no room in its buffer was never closed; at the bound on connections the level- triggered listener kept the loop awake. Each is mended, the first and third with a test. The rig's histogram cut small requests' times to its first bounds (2 ms): its bounds are stated now, and no figure of before is used.

--- a/rig/src/streams.rs
+++ b/rig/src/streams.rs
@@ -193,7 +193,8 @@
 
 /// Sends small requests over a kept connection until told to stop; their times in microseconds.
 fn small(address: SocketAddr, stop: &AtomicBool) -> Histogram<u64> {
-    let mut times = Histogram::new(3).expect("three digits are a precision");
+    // Up to two minutes; one that resizes itself would cut what it records to its first bounds.
+    let mut times = Histogram::new_with_bounds(1, 120_000_000, 3).expect("the bounds are in order");
     let mut peer = None;
     let mut at = 0u64;
     while !stop.load(Ordering::Relaxed) {
@@ -242,7 +243,13 @@
     table(&ran, &mut figures);
     let wrong: u64 = servers.iter().map(|(_, seen)| seen.wrong.load(Ordering::Relaxed)).sum();
     figures.broken += wrong as usize;
-    println!("small requests beside them: {}, longest {:.1} ms", times.len(), times.max() as f64 / 1e3);
+    println!(
+        "small requests beside them: {}, p50 {:.2} ms, p99 {:.2} ms, longest {:.1} ms",
+        times.len(),
+        figures.small_p50_ms,
+        figures.small_p99_ms,
+        times.max() as f64 / 1e3
+    );
     println!("the program: {:.1} s of processor time, {:.1} MiB at the peak", after.cpu_s, after.peak_rss_mb);
     let names =
         ["taken", "served", "denied", "failed", "left", "whole", "cut", "slow_clients", "slow_servers"];
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -223,9 +223,13 @@
         self.enter(stream, way, Phase::Held, now);
     }
 
-    /// A lane's source is read, and what it holds may leave. Its bytes so far are in `held`.
+    /// A lane's source is read, and what it holds may leave, to a sink that has not been measured before. Its bytes so
+    /// far are in `held`.
     pub fn pass(&mut self, stream: StreamId, way: Way, held: usize, now: f64) {
-        if let Some(lane) = self.streams.get_mut(&stream).map(|s| s.lane(way)) {
+        let pace = self.streams.get(&stream).map(|s| s.allowance.pace);
+        if let Some((lane, pace)) = self.streams.get_mut(&stream).map(|s| s.lane(way)).zip(pace) {
+            // Guards a second server against what the first one was too slow in.
+            lane.sink = Meter::new(pace);
             self.held = self.held + held - lane.held;
             lane.held = held;
             lane.blocked = false;
--- a/src/flow/tests.rs
+++ b/src/flow/tests.rs
@@ -94,6 +94,23 @@
     assert_eq!(given[1].side, Side::Source);
 }
 
+/// Guards a second server against the time that the first one let pass.
+#[test]
+fn a_new_sink_is_measured_anew() {
+    let mut flow = flow(1, 2_500, 1 << 20);
+    let stuck = Moved { read: 1_000, held: 1_000, blocked: true, ..Moved::default() };
+    let turn = flow.turn().unwrap();
+    flow.moved(turn, stuck, 0.0);
+    assert_eq!(flow.expire(PACE.silence).len(), 1);
+    flow.rest(0, Way::Up, PACE.silence);
+    assert_eq!(flow.expire(1e6), []);
+    flow.pass(0, Way::Up, 1_000, 1e6);
+    let turn = flow.turn().unwrap();
+    flow.moved(turn, Moved { read: 0, ..stuck }, 1e6);
+    assert_eq!(flow.expire(1e6 + PACE.silence - 1.0), []);
+    assert_eq!(flow.expire(1e6 + PACE.silence).len(), 1);
+}
+
 #[test]
 fn a_trickle_is_too_slow_and_a_pause_of_the_other_side_is_not() {
     let mut meter = Meter::new(PACE);
--- a/src/front/stream/clients.rs
+++ b/src/front/stream/clients.rs
@@ -46,22 +46,30 @@
 }
 
 impl Stream {
-    /// Accepts what waits. At the bound the connection that has been idle longest makes room.
+    /// Accepts what waits. At the bound the connection that has been idle longest makes room; where all are at a
+    /// stream, a new one is told so and closed.
     pub fn accept(&mut self, net: &mut Sockets) {
         for _ in 0..64 {
             if self.clients.len() >= self.config.table.connections {
                 let idle = self.clients.iter().filter(|(_, c)| c.at == At::Idle);
-                let Some((&idle, _)) = idle.min_by(|a, b| a.1.until.total_cmp(&b.1.until)) else { return };
-                // What has come by now is taken or refused first.
-                self.client_ready(net, idle);
-                if self.clients.get(&idle).is_some_and(|c| c.at == At::Idle) {
-                    self.drop_client(net, idle);
-                }
-                if self.clients.len() >= self.config.table.connections {
-                    return;
+                let idle = idle.min_by(|a, b| a.1.until.total_cmp(&b.1.until)).map(|(&id, _)| id);
+                if let Some(idle) = idle {
+                    // What has come by now is taken or refused first.
+                    self.client_ready(net, idle);
+                    if self.clients.get(&idle).is_some_and(|c| c.at == At::Idle) {
+                        self.drop_client(net, idle);
+                    }
                 }
             }
             let Some(id) = net.accept(self.listener) else { return };
+            // Guards against a backlog that keeps the loop awake and its clients without a word.
+            if self.clients.len() >= self.config.table.connections {
+                self.counters.full += 1;
+                let advice = [("Retry-After", self.config.table.retry_after_s.ceil().to_string())];
+                net.write(id, &http::answer(503, &advice, b"too many connections\n", true));
+                net.close(id);
+                continue;
+            }
             let until = self.now() + self.config.table.head_s * 1e3;
             self.clients.insert(id, Client { at: At::Idle, until });
         }
@@ -246,11 +254,11 @@
 
     pub(super) fn drop_client(&mut self, net: &mut Sockets, id: ConnId) {
         let stream = self.clients.get(&id).and_then(Client::stream);
-        if let Some(stream) = stream {
-            return self.client_gone(net, stream);
+        // Its stream may be over, and its own answer have found no room.
+        match stream.filter(|stream| self.exchanges.contains_key(stream)) {
+            Some(stream) => self.client_gone(net, stream),
+            None => self.cut_client(net, id),
         }
-        self.clients.remove(&id);
-        net.close(id);
     }
 
     /// Forgets a client's connection whose stream is over.
--- a/tests/stream.rs
+++ b/tests/stream.rs
@@ -107,6 +107,10 @@
         }
     }
 
+    fn ends_after(&mut self, text: &str) {
+        assert_eq!(String::from_utf8(self.rest()).unwrap(), text);
+    }
+
     fn ends(&mut self) {
         assert_eq!(self.rest(), b"", "something came where an end was due");
     }
@@ -496,6 +500,30 @@
     }
 }
 
+/// Guards the bound on connections, and the loop: what waits in the backlog is told so and not left there.
+#[test]
+fn beyond_its_connections_a_client_is_told_at_once() {
+    let (listener, server) = listener();
+    let (_program, address) = stream(&[server], "connections = 1", "");
+    let mut client = Wire::connect(address);
+    client.say("GET /safe/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    let mut backend = Wire::accept(&listener);
+    backend.head();
+    let mut second = Wire::connect(address);
+    assert!(second.head().starts_with("HTTP/1.1 503"));
+    second.ends_after("too many connections\n");
+    backend.say(OK);
+    assert!(client.head().starts_with("HTTP/1.1 200"));
+    assert_eq!(client.bytes(2), b"ok");
+    // Between requests it makes room.
+    let mut third = Wire::connect(address);
+    third.say("GET /safe/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    backend.head();
+    backend.say(OK);
+    assert!(third.head().starts_with("HTTP/1.1 200"));
+    client.ends();
+}
+
 /// Guards the stop: a stream that can end within the span does, any other is cut so that its client sees it, and the
 /// program ends by then.
 #[test]
