--- a/rig/src/streams.rs
+++ b/rig/src/streams.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
@@ -163,16 +163,21 @@
     took: f64,
 }
 
-/// Runs streams, all begun at once.
-fn run(asks: Vec<Ask>, address: SocketAddr) -> Run {
+/// Runs streams, all begun at once; tells `over` when the last of those without a slow peer has ended.
+fn run(asks: Vec<Ask>, address: SocketAddr, over: &Arc<AtomicBool>) -> Run {
+    let fast = |ask: &Ask| ask.client_rate + ask.server_rate == 0;
+    let left = Arc::new(AtomicUsize::new(asks.iter().filter(|ask| fast(ask)).count()));
     let barrier = Arc::new(Barrier::new(asks.len() + 1));
     let threads: Vec<_> = asks
         .into_iter()
         .map(|ask| {
-            let barrier = Arc::clone(&barrier);
+            let (barrier, left, over) = (Arc::clone(&barrier), Arc::clone(&left), Arc::clone(over));
             spawn(move || {
                 barrier.wait();
                 let end = ask.run(address);
+                if fast(&ask) && left.fetch_sub(1, Ordering::Relaxed) == 1 {
+                    over.store(true, Ordering::Relaxed);
+                }
                 (ask, end, Instant::now())
             })
         })
@@ -180,8 +185,11 @@
     barrier.wait();
     let began = Instant::now();
     let ended: Vec<_> = threads.into_iter().filter_map(|t| t.join().ok()).collect();
-    let fast = ended.iter().filter(|(ask, ..)| ask.client_rate + ask.server_rate == 0);
-    let took = fast.map(|(.., at)| at.duration_since(began).as_secs_f64()).fold(0.0, f64::max);
+    let took = ended
+        .iter()
+        .filter(|(ask, ..)| fast(ask))
+        .map(|(.., at)| at.duration_since(began).as_secs_f64())
+        .fold(0.0, f64::max);
     Run { ends: ended.into_iter().map(|(ask, end, _)| (ask, end)).collect(), took }
 }
 
@@ -229,7 +237,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let probe = Arc::clone(&stop);
     let probe = spawn(move || small(address, &probe));
-    let ran = run(asks(plan), address);
+    let ran = run(asks(plan), address, &stop);
     stop.store(true, Ordering::Relaxed);
     let times = probe.join().map_err(|_| RigError::Program("small requests ended badly".into()))?;
     let after = program.usage()?;
@@ -261,7 +269,7 @@
         let (copy, splice) = (copy?, splice?);
         // The program over the same bytes, so that the two are alike in all but what stands between.
         let program = Program::start(&binary, &file, 1)?;
-        let same = rate(&run(bare_asks(plan), program.addresses[0]));
+        let same = rate(&run(bare_asks(plan), program.addresses[0], &Arc::default()));
         program.stop()?;
         println!("bare copy loop {copy:.0} MB/s, splice {splice:.0} MB/s, the program {same:.0} MB/s");
         figures.relay_ratio = same / copy;
@@ -275,7 +283,7 @@
 }
 
 fn bare(plan: &Plan, to: SocketAddr, mode: Mode) -> Result<f64, RigError> {
-    let ran = run(bare_asks(plan), start(to, mode)?);
+    let ran = run(bare_asks(plan), start(to, mode)?, &Arc::default());
     match ran.ends.iter().find(|(_, end)| *end != End::Whole) {
         Some((ask, end)) => Err(RigError::Disproved(format!("a bare relay failed {ask:?}: {end:?}"))),
         None => Ok(rate(&ran)),
