--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod flow;
 pub mod front;
 pub mod json;
+pub mod ledger;
 mod logic;
 pub mod net;
 pub mod settings;
