--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod peers;
 pub mod program;
 pub mod relay;
+pub mod stores;
 pub mod streams;
 
 use thiserror::Error;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use micabeam_rig::streams::{Plan, ladder};
-use micabeam_rig::{RigError, dispatch, streams};
+use micabeam_rig::{RigError, dispatch, stores, streams};
 
 /// Experiments with the real program among stand-in peers, on loopback. The last line of each is figures, as
 /// key=value; it ends non-zero where its proof fails.
@@ -57,6 +57,12 @@
         #[arg(long, default_value_t = 400)]
         pipes: usize,
     },
+    /// The ledger's load on embedded engines and on a plain log
+    Stores {
+        /// Jobs, of three records each
+        #[arg(long, default_value_t = 100_000)]
+        jobs: usize,
+    },
     /// What slow uploads cost a server by when they are dispatched
     Dispatch {
         /// Uploads at once
@@ -104,6 +110,7 @@
             Ok(figures.line())
         }
         Experiment::Ladder { mb, pipes } => ladder(mb, pipes),
+        Experiment::Stores { jobs } => stores::experiment(jobs),
         Experiment::Dispatch { count, kb_s, least_kb_s } => {
             dispatch::experiment(count, kb_s * 1000, least_kb_s)
         }
--- /dev/null
+++ b/rig/src/stores.rs
@@ -0,0 +1,217 @@
+//! Experiment `stores`: what the ledger's load costs on two embedded engines and on a plain log with checksums, for
+//! groups of records that share one sync.
+//!
+//! The load is a job's three records: accepted with a body, leased, finished with a result. Each engine keeps them in
+//! the order in which they came, and has them on disk before the next group begins.
+
+use std::fs::{File, OpenOptions};
+use std::io::{BufReader, Read, Write};
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+use micabeam::ledger::{Outcome, Record};
+use redb::{ReadableTable, TableDefinition};
+
+use crate::{RigError, tried};
+
+const TABLE: TableDefinition<u64, &[u8]> = TableDefinition::new("records");
+/// Records that share a sync.
+const GROUPS: [usize; 3] = [1, 16, 256];
+/// Longest record that a log's reader believes in.
+const MOST: usize = 1 << 24;
+
+/// An engine that keeps records in order.
+trait Store {
+    /// Has a group on disk when it returns.
+    fn append(&mut self, records: &[Vec<u8>]) -> Result<(), String>;
+}
+
+fn text(e: impl std::fmt::Display) -> String {
+    e.to_string()
+}
+
+struct Redb(redb::Database, u64);
+
+impl Redb {
+    fn open(path: &Path) -> Result<Redb, String> {
+        let db = redb::Database::create(path.join("db")).map_err(text)?;
+        let write = db.begin_write().map_err(text)?;
+        drop(write.open_table(TABLE).map_err(text)?);
+        write.commit().map_err(text)?;
+        Ok(Redb(db, 0))
+    }
+
+    fn read(path: &Path) -> Result<usize, String> {
+        let db = redb::Database::open(path.join("db")).map_err(text)?;
+        let read = db.begin_read().map_err(text)?;
+        let table = read.open_table(TABLE).map_err(text)?;
+        let mut count = 0;
+        for row in table.iter().map_err(text)? {
+            let (_, value) = row.map_err(text)?;
+            count += usize::from(Record::decode(value.value()).is_ok());
+        }
+        Ok(count)
+    }
+}
+
+impl Store for Redb {
+    fn append(&mut self, records: &[Vec<u8>]) -> Result<(), String> {
+        let write = self.0.begin_write().map_err(text)?;
+        {
+            let mut table = write.open_table(TABLE).map_err(text)?;
+            for record in records {
+                self.1 += 1;
+                table.insert(self.1, record.as_slice()).map_err(text)?;
+            }
+        }
+        write.commit().map_err(text)
+    }
+}
+
+struct Fjall(fjall::Keyspace, fjall::PartitionHandle, u64);
+
+impl Fjall {
+    fn open(path: &Path) -> Result<Fjall, String> {
+        let db = fjall::Config::new(path).open().map_err(text)?;
+        let records = db.open_partition("records", fjall::PartitionCreateOptions::default()).map_err(text)?;
+        Ok(Fjall(db, records, 0))
+    }
+
+    fn read(path: &Path) -> Result<usize, String> {
+        let store = Fjall::open(path)?;
+        let mut count = 0;
+        for row in store.1.iter() {
+            let (_, value) = row.map_err(text)?;
+            count += usize::from(Record::decode(&value).is_ok());
+        }
+        Ok(count)
+    }
+}
+
+impl Store for Fjall {
+    fn append(&mut self, records: &[Vec<u8>]) -> Result<(), String> {
+        let mut batch = self.0.batch();
+        for record in records {
+            self.2 += 1;
+            batch.insert(&self.1, self.2.to_be_bytes(), record.as_slice());
+        }
+        batch.commit().map_err(text)?;
+        self.0.persist(fjall::PersistMode::SyncData).map_err(text)
+    }
+}
+
+/// Frames of a length and a checksum (CRC-32C), both in four bytes, before the record.
+struct Log(File);
+
+impl Log {
+    fn open(path: &Path) -> Result<Log, String> {
+        let file = OpenOptions::new().create(true).append(true).open(path.join("log"));
+        Ok(Log(file.map_err(text)?))
+    }
+
+    fn read(path: &Path) -> Result<usize, String> {
+        let mut file = BufReader::with_capacity(1 << 20, File::open(path.join("log")).map_err(text)?);
+        let (mut count, mut head) = (0, [0; 8]);
+        while file.read_exact(&mut head).is_ok() {
+            let word = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+            let length = word(0) as usize;
+            if length > MOST {
+                break;
+            }
+            let mut record = vec![0; length];
+            if file.read_exact(&mut record).is_err() || crc32c::crc32c(&record) != word(4) {
+                break;
+            }
+            count += usize::from(Record::decode(&record).is_ok());
+        }
+        Ok(count)
+    }
+}
+
+impl Store for Log {
+    fn append(&mut self, records: &[Vec<u8>]) -> Result<(), String> {
+        let mut frames = Vec::new();
+        for record in records {
+            frames.extend((record.len() as u32).to_le_bytes());
+            frames.extend(crc32c::crc32c(record).to_le_bytes());
+            frames.extend(record);
+        }
+        self.0.write_all(&frames).map_err(text)?;
+        self.0.sync_data().map_err(text)
+    }
+}
+
+/// The records of so many jobs, in the order in which a busy ledger would store them.
+fn load(jobs: usize) -> Vec<Vec<u8>> {
+    let (due, body) = (1.7e12, vec![b'b'; 200]);
+    let records = |no: u64| {
+        let worker = "booking-worker-7".to_string();
+        [
+            Record::Accepted { no, class: 1, key: Some(no.to_be_bytes().to_vec()), due, body: body.clone() },
+            Record::Leased { no, fence: no, worker, until: due },
+            Record::Finished { no, outcome: Outcome::Served(vec![b'r'; 100]), keep: due },
+        ]
+    };
+    (1..=jobs as u64).flat_map(records).map(|r| r.encode()).collect()
+}
+
+fn size(path: &Path) -> u64 {
+    let entries = std::fs::read_dir(path).into_iter().flatten().flatten();
+    let of = |entry: std::fs::DirEntry| match entry.metadata() {
+        Ok(meta) if meta.is_dir() => size(&entry.path()),
+        // What it takes of the disk, not how long it says it is.
+        Ok(meta) => std::os::unix::fs::MetadataExt::blocks(&meta) * 512,
+        Err(_) => 0,
+    };
+    entries.map(of).sum()
+}
+
+type Open = fn(&Path) -> Result<Box<dyn Store>, String>;
+type Count = fn(&Path) -> Result<usize, String>;
+
+/// Runs so many jobs through each engine and prints what each cost.
+pub fn experiment(jobs: usize) -> Result<String, RigError> {
+    let engines: [(&str, Open, Count); 3] = [
+        ("redb", |p| Ok(Box::new(Redb::open(p)?)), Redb::read),
+        ("fjall", |p| Ok(Box::new(Fjall::open(p)?)), Fjall::read),
+        ("log", |p| Ok(Box::new(Log::open(p)?)), Log::read),
+    ];
+    let mut line = Vec::new();
+    println!(
+        "{:>6} {:>6} {:>10} {:>10} {:>9} {:>11} {:>10}",
+        "engine", "group", "records/s", "ms a sync", "bytes/job", "read back s", "records"
+    );
+    for group in GROUPS {
+        // A sync for each record is slow enough with fewer.
+        let records = load(if group == 1 { jobs / 20 } else { jobs });
+        for (name, open, count) in engines {
+            let dir = directory(name, group)?;
+            let wrong = |e: String| RigError::Disproved(format!("{name}: {e}"));
+            let mut store = open(&dir).map_err(wrong)?;
+            let began = Instant::now();
+            for records in records.chunks(group) {
+                store.append(records).map_err(wrong)?;
+            }
+            let took = began.elapsed().as_secs_f64();
+            drop(store);
+            let (began, came) = (Instant::now(), count(&dir).map_err(wrong)?);
+            let back = began.elapsed().as_secs_f64();
+            let bytes = size(&dir) as f64 / (records.len() / 3) as f64;
+            let rate = records.len() as f64 / took;
+            let sync = took * 1e3 / records.len().div_ceil(group) as f64;
+            println!("{name:>6} {group:>6} {rate:>10.0} {sync:>10.3} {bytes:>9.0} {back:>11.2} {came:>10}");
+            tried("the store's folder", std::fs::remove_dir_all(&dir))?;
+            if came != records.len() {
+                return Err(wrong(format!("{came} of {} records came back", records.len())));
+            }
+            line.push(format!("{name}_{group}={rate:.0}"));
+        }
+    }
+    Ok(line.join(" "))
+}
+
+fn directory(name: &str, group: usize) -> Result<PathBuf, RigError> {
+    let dir = std::env::temp_dir().join(format!("micabeam-stores-{}-{name}-{group}", std::process::id()));
+    tried("the store's folder", std::fs::create_dir_all(&dir))?;
+    Ok(dir)
+}
--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -34,6 +34,24 @@
     Failed,
 }
 
+impl Heard {
+    /// Tells a core, and gives the servers that were started again, or have moved: their old connections are gone.
+    pub fn tell(self, core: &mut Core) -> Vec<WorkerId> {
+        let Heard::List(lines, whole) = self else {
+            core.list_failed();
+            return Vec::new();
+        };
+        let renewed = |line: &Line| {
+            let id = core.table().id(&line.name)?;
+            let old = &core.table().get(id)?.line;
+            ((old.member.born, &old.address) != (line.member.born, &line.address)).then_some(id)
+        };
+        let renewed = lines.iter().filter_map(renewed).collect();
+        core.listed(lines, whole);
+        renewed
+    }
+}
+
 /// The one connection to discovery.
 pub struct Discovery {
     address: SocketAddr,
@@ -160,16 +178,6 @@
     }
 }
 
-/// Servers of a list that were started again, or moved: their old connections are gone.
-pub fn renewed(core: &Core, lines: &[Line]) -> Vec<WorkerId> {
-    let renewed = |line: &Line| {
-        let id = core.table().id(&line.name)?;
-        let old = &core.table().get(id)?.line;
-        ((old.member.born, &old.address) != (line.member.born, &line.address)).then_some(id)
-    };
-    lines.iter().filter_map(renewed).collect()
-}
-
 /// The version and lines of a list or of its changes, and whether it is whole.
 pub fn read_list(list: &JsonValue, site: &Site) -> Result<(u64, Vec<Line>, bool), String> {
     let seq = number(list, "seq").ok_or("the list has no seq")? as u64;
--- a/src/front/stream/mod.rs
+++ b/src/front/stream/mod.rs
@@ -10,7 +10,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::discovery::{Discovery, Heard, renewed};
+use super::discovery::{Discovery, Heard};
 use super::{Leaving, Sockets};
 use crate::api::WorkerId;
 use crate::core::{Clock, Command, Core, SessionId, Verdict};
@@ -161,15 +161,8 @@
 
     /// Tells the core what discovery has brought.
     fn heard(&mut self, net: &mut Sockets, heard: Option<Heard>) {
-        match heard {
-            Some(Heard::List(lines, whole)) => {
-                for server in renewed(&self.core, &lines) {
-                    self.drop_idle(net, server);
-                }
-                self.core.listed(lines, whole);
-            }
-            Some(Heard::Failed) => self.core.list_failed(),
-            None => {}
+        for server in heard.map(|heard| heard.tell(&mut self.core)).unwrap_or_default() {
+            self.drop_idle(net, server);
         }
     }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -268,3 +268,15 @@
     let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')).unwrap();
     line.parse().unwrap()
 }
+
+/// A counter in the log of a program that has ended.
+pub fn told(log: &str, name: &str) -> u64 {
+    let line = log.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("no {name} in {log}")).parse().unwrap()
+}
+
+/// Sees that each session taken has ended, in one way.
+pub fn all_ended(log: &str) {
+    let ends = ["turned_away", "served", "denied", "failed", "left"].map(|name| told(log, name));
+    assert_eq!(told(log, "taken"), ends.iter().sum::<u64>(), "{log}");
+}
