Many dispatchers: stop chasing old reports; own zone as the part; overflow spread

True free slots and reported ones: correlation -0.09 when read, 0.76 a second before. Half the workers had queues while half had idle slots. Ruled out: the cap on probes (12 of 23,774 were refused); probe latency as a queue reading (no relation). Cause: step() trusts a report that is a second old and that a hundred others read as well; FEW=8 workers a part, where one dispatcher has 13 % of all jobs. Change: beyond 16 dispatchers no probes; a queue is past k if an own attempt waits there; the part is the whole own zone; overflow starts at another worker for each; a safe job that does not start within a tenth of its aim goes on, three times.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,10 @@
 /// Advice to the client of a refused job: by then the jobs that wait now are over. Guards against retries
 /// that come at once and take the place of jobs still in time.
 const COME_BACK: Micros = 2_000_000;
+/// Dispatchers beyond which what others send to a worker between two of its reports outweighs what they say.
+const MANY: u32 = 16;
+/// Attempts of a safe job that are called off at once where they do not start.
+const QUICK: usize = 3;
 /// What a worker that turned a job away counts as holding until its next report.
 const FULL: f64 = 1000.0;
 
@@ -228,10 +232,17 @@
         }
     }
 
+    /// Whether dispatchers are so many that a report is out of date by what others sent since. Guards against all
+    /// of them running after the same slots: they were free when the report was made, and are not any more.
+    fn many(&self) -> bool {
+        self.settings.dispatchers > MANY
+    }
+
     /// Lays out every period anew: a worker with n turns has them evenly spaced, and workers start at points
     /// spread by the golden section so that neighbours in the order do not bunch.
     fn rebuild(&mut self) {
         let (number, zone) = (self.settings.number, self.settings.zone);
+        let many = self.many();
         for cycle in &mut self.cycles {
             let fits = |w: &Worker| w.ready && cycle.kind.is_none_or(|kind| kind == w.member.kind);
             cycle.order = (0..self.workers.len()).filter(|&i| fits(&self.workers[i])).collect();
@@ -247,7 +258,10 @@
             // Guards against two dangers of a large fleet: a connection opened for nearly every job, and own
             // counts that say nothing as each worker serves all dispatchers (the paper's small subsets K_i).
             let part = (COVER * n as f64 / f64::from(self.settings.dispatchers.max(1))).max(FEW) as usize;
-            cycle.part = part.clamp(n.min(1), n);
+            // Guards against a few workers that one busy dispatcher keeps full: the whole zone is its part.
+            let near = |&&i: &&usize| self.workers[i].member.zone == zone;
+            let zoned = if many && self.settings.zones_cost { order.iter().filter(near).count() } else { 0 };
+            cycle.part = part.max(zoned).clamp(n.min(1), n);
             let total: f64 = order[..cycle.part].iter().map(|&i| self.workers[i].member.size).sum();
             let mean = (total / cycle.part as f64).max(f64::MIN_POSITIVE);
             if cycle.kind.is_none() {
@@ -332,12 +346,15 @@
         let bound = (came + self.settings.classes[p.job.class].aim).saturating_sub(now) as f64;
         let slowest = self.prompt.iter().fold(0.0, |a: f64, &b| a.max(b));
         let mut wait = self.settings.quantum * 2 + slowest as Micros * 2;
-        let mut left = length;
+        let (mut left, many) = (length, self.many());
+        if many {
+            steps = steps.max(p.attempts.len());
+        }
         loop {
             if steps >= STEPS || left == 0 {
                 // Read anew, lest jobs that met it together all settle there.
                 if let Some((_, i)) = best
-                    && self.past(i, slots) <= bound
+                    && (many || self.past(i, slots) <= bound)
                     && self.may_send(now, id, i)
                 {
                     return self.send(now, id, i, out);
@@ -354,13 +371,22 @@
                 (next - 1) % part
             } else {
                 self.cycles[cycle].beyond += 1;
-                part + self.cycles[cycle].beyond % (length - part)
+                // Each starts elsewhere, lest all that lose a zone go on to the same next one.
+                let start = (f64::from(self.settings.number) * GOLDEN).fract() * (length - part) as f64;
+                part + (self.cycles[cycle].beyond + start as usize) % (length - part)
             };
             let i = self.cycles[cycle].order[at];
             if self.workers[i].asked.is_some() || !self.may_send(now, id, i) {
                 continue;
             }
             steps += 1;
+            if many {
+                if self.workers[i].waiting < 1.0 {
+                    return self.send(now, id, i, out);
+                }
+                best = better(best, self.workers[i].waiting, i);
+                continue;
+            }
             if self.settings.limits.probe && now > self.workers[i].read + self.settings.quantum {
                 self.workers[i].asked = Some(id);
                 out.push(Action::Probe { worker: self.workers[i].member.worker });
@@ -512,7 +538,12 @@
         self.held.remove(&(p.came, id));
         let class = &self.settings.classes[p.job.class];
         if self.settings.tells_start && self.settings.limits.cancel && class.repeat == Repeat::Safe {
-            self.wakes.push(Reverse((now + class.aim, Wake::Unheard(id, p.attempts.len()))));
+            let patience = if self.settings.dispatchers > MANY && p.attempts.len() < QUICK {
+                class.aim / 10
+            } else {
+                class.aim
+            };
+            self.wakes.push(Reverse((now + patience, Wake::Unheard(id, p.attempts.len()))));
         }
         p.attempts.push(Attempt {
             worker: i,
