Warming workers earn turns by warmth; calls for the list spread by the number of dispatchers

Calls that fail still take discovery's time, so it never recovers. At fault: logic.rs open() (budget by time over dispatchers), call() (span without their number, from 0 again after a failure), failed() (doubt asks anew each 5 s); discovery.rs (a call out for 1 s is begun anew).

--- a/src/api.rs
+++ b/src/api.rs
@@ -41,6 +41,24 @@
     pub tells_start: bool,
 }
 
+impl Settings {
+    /// Dispatchers beyond which what the others do between two reports of a worker outweighs what a report says.
+    pub const MANY: u32 = 16;
+    /// Time that discovery has for one call, of all dispatchers together.
+    pub const CALL_EACH: Micros = 80_000;
+
+    /// Whether dispatchers are many.
+    pub fn many(&self) -> bool {
+        self.dispatchers > Settings::MANY
+    }
+
+    /// The time in which each dispatcher calls discovery once: by their number, and well within `ask_within`, after
+    /// which a dispatcher counts as told of what it has not asked for.
+    pub fn call_span(&self) -> Micros {
+        (Micros::from(self.dispatchers) * Settings::CALL_EACH).min(self.rules.ask_within / 5 * 4)
+    }
+}
+
 /// A class of jobs.
 #[derive(Clone, Debug)]
 pub struct Class {
--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::Sockets;
-use crate::api::{Member, MemberState, WorkerId};
+use crate::api::{Member, MemberState, Settings, WorkerId};
 use crate::core::{Core, Line, micros};
 use crate::json::{self, JsonValue, flag, number, text};
 use crate::net::ConnId;
@@ -16,6 +16,8 @@
 const GRACE: f64 = 2_500.0;
 /// Time between an answer and the next call of the watch: a watch breaks after 200 ms.
 const PAUSE: f64 = 40.0;
+/// The same where dispatchers are many.
+const LONG_WAIT: f64 = 55_000.0;
 /// A call that has been out for longer may have fallen silent, and is given up where another is asked for.
 const FRESH: f64 = 1_000.0;
 
@@ -61,12 +63,14 @@
     /// The version held; none where the next call asks for the whole list.
     seq: Option<u64>,
     watch: Watch,
+    rng: fastrand::Rng,
 }
 
 impl Discovery {
     /// A watch that has not begun, from a version on.
-    pub fn new(address: SocketAddr, told: Option<SocketAddr>, seq: u64) -> Discovery {
-        Discovery { address, told, conn: None, seq: Some(seq), watch: Watch::Off }
+    pub fn new(address: SocketAddr, told: Option<SocketAddr>, seq: u64, seed: u64) -> Discovery {
+        let rng = fastrand::Rng::with_seed(seed);
+        Discovery { address, told, conn: None, seq: Some(seq), watch: Watch::Off, rng }
     }
 
     /// Whether a connection is its own.
@@ -84,14 +88,18 @@
 
     /// Calls discovery, unless a call was begun just now. One that has waited for a while is begun anew, on a new
     /// connection: the old one may have fallen silent.
-    pub fn call(&mut self, net: &mut Sockets, now: f64) -> Option<Heard> {
+    pub fn call(&mut self, net: &mut Sockets, now: f64, settings: &Settings) -> Option<Heard> {
         if let Watch::Calling { since, .. } = self.watch {
-            if now < since + FRESH {
+            // A poll waits for its turn; to call again would only make the line longer.
+            if now < since + FRESH || settings.many() {
                 return None;
             }
             self.hang_up(net);
         }
-        let wait = self.seq.map_or(0.0, |_| WAIT);
+        // Guards against many dispatchers that come back at one time as nothing has changed for long.
+        let longest = if settings.many() { LONG_WAIT * (0.5 + 0.5 * self.rng.f64()) } else { WAIT };
+        let seq = self.seq;
+        let wait = seq.map_or(0.0, |_| longest);
         self.watch = Watch::Calling { since: now, until: now + wait + GRACE };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
         let conn = match self.conn.filter(fresh) {
@@ -103,8 +111,8 @@
         };
         let Ok(conn) = conn else { return Some(self.failed(net)) };
         self.conn = Some(conn);
-        let target = match self.seq {
-            Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={WAIT}"),
+        let target = match seq {
+            Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={}", wait as u64),
             None => "/discovery/hosts".to_string(),
         };
         let host = [("Host", self.address.to_string())];
@@ -148,12 +156,18 @@
     /// Goes over to the discovery service that the configuration names, if it names another one than before.
     /// Its versions need not go on from those of the old one, which soon ends all watches: the whole list is
     /// asked for first.
-    pub fn follow(&mut self, net: &mut Sockets, now: f64, told: Option<SocketAddr>) -> Option<Heard> {
+    pub fn follow(
+        &mut self,
+        net: &mut Sockets,
+        now: f64,
+        told: Option<SocketAddr>,
+        settings: &Settings,
+    ) -> Option<Heard> {
         let address = told.filter(|_| told != self.told)?;
         self.hang_up(net);
         let watch = Watch::Pausing { until: now };
-        *self = Discovery { address, told, conn: None, seq: None, watch };
-        self.tick(net, now)
+        (self.address, self.told, self.seq, self.watch) = (address, told, None, watch);
+        self.tick(net, now, settings)
     }
 
     fn hang_up(&mut self, net: &mut Sockets) {
@@ -169,10 +183,10 @@
     }
 
     /// Does what is due by now.
-    pub fn tick(&mut self, net: &mut Sockets, now: f64) -> Option<Heard> {
+    pub fn tick(&mut self, net: &mut Sockets, now: f64, settings: &Settings) -> Option<Heard> {
         match self.watch {
             Watch::Calling { until, .. } if until <= now => Some(self.failed(net)),
-            Watch::Pausing { until } if until <= now => self.call(net, now),
+            Watch::Pausing { until } if until <= now => self.call(net, now, settings),
             _ => None,
         }
     }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -48,7 +48,7 @@
         let mut front = Platform {
             clients: Clients::new(listener, budget),
             backends: Backends::new(site.conn_idle, budget.backends),
-            discovery: Discovery::new(discovery, config.discovery, known.0),
+            discovery: Discovery::new(discovery, config.discovery, known.0, seed),
             core: Core::new(site, seed, clock, budget.sessions),
             jobs: FxHashMap::default(),
             ids: FxHashMap::default(),
@@ -69,7 +69,7 @@
         self.backends.adopt(config.site.conn_idle, config.budget.backends);
         self.core.adopt(config.site, config.budget.sessions);
         let now = self.core.clock().now();
-        let heard = self.discovery.follow(net, now, config.discovery);
+        let heard = self.discovery.follow(net, now, config.discovery, &self.core.site().settings);
         self.heard(net, heard);
         self.carry_out(net);
     }
@@ -121,7 +121,7 @@
                 Command::Answer { session, verdict } => self.answer(net, session, verdict),
                 Command::Probe { server } => self.probe(net, server),
                 Command::Subscribe => {
-                    let heard = self.discovery.call(net, self.core.clock().now());
+                    let heard = self.discovery.call(net, self.core.clock().now(), &self.core.site().settings);
                     self.heard(net, heard);
                 }
             }
@@ -148,7 +148,7 @@
             self.client_ready(net, conn);
         }
         self.expire_backends(net);
-        let heard = self.discovery.tick(net, self.core.clock().now());
+        let heard = self.discovery.tick(net, self.core.clock().now(), &self.core.site().settings);
         self.heard(net, heard);
         self.carry_out(net);
         let now = self.core.clock().now();
--- a/src/front/stream/mod.rs
+++ b/src/front/stream/mod.rs
@@ -54,7 +54,7 @@
 impl Stream {
     /// A front on a listener that is open.
     pub fn new(config: Config, seed: u64, clock: Clock, listener: usize) -> Stream {
-        let discovery = config.table.discovery.map(|address| Discovery::new(address, Some(address), 0));
+        let discovery = config.table.discovery.map(|address| Discovery::new(address, Some(address), 0, seed));
         let mut core = Core::new(config.site.clone(), seed, clock, config.bounds.total);
         if discovery.is_some() {
             core.known(Vec::new());
@@ -106,7 +106,7 @@
         self.pipes.adopt(config.table.pipes);
         let now = self.now();
         if let Some(discovery) = &mut self.discovery {
-            let heard = discovery.follow(net, now, config.table.discovery);
+            let heard = discovery.follow(net, now, config.table.discovery, &self.core.site().settings);
             self.heard(net, heard);
         } else {
             self.heard(net, Some(Heard::List(config.lines.clone(), true)));
@@ -180,7 +180,7 @@
                 }
                 Command::Subscribe => {
                     if let Some(discovery) = &mut self.discovery {
-                        let heard = discovery.call(net, self.core.clock().now());
+                        let heard = discovery.call(net, self.core.clock().now(), &self.core.site().settings);
                         self.heard(net, heard);
                     }
                 }
@@ -210,7 +210,7 @@
         self.expire_servers(net, now);
         self.expire_streams(net, now);
         if let Some(discovery) = &mut self.discovery {
-            let heard = discovery.tick(net, now);
+            let heard = discovery.tick(net, now, &self.core.site().settings);
             self.heard(net, heard);
         }
         self.carry_out(net);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,8 +32,8 @@
 /// Advice to the client of a refused job: by then the jobs that wait now are over. Guards against retries
 /// that come at once and take the place of jobs still in time.
 const COME_BACK: Micros = 2_000_000;
-/// Dispatchers beyond which what others send to a worker between two of its reports outweighs what they say.
-const MANY: u32 = 16;
+/// Turns that one job may hand on to the next worker and still count for those that warm up.
+const CREDITS: usize = 2;
 /// Attempts of a safe job that are called off at once where they do not start.
 const QUICK: usize = 3;
 /// What a worker that turned a job away counts as holding until its next report.
@@ -148,8 +148,12 @@
         }
     }
 
+    /// Guards against calls of many dispatchers that come sooner than discovery works through them: they are
+    /// spread by how many there are, and a failed one waits half of its span at least.
     fn call(&mut self, now: Micros, within: Micros) {
-        let at = now + self.rng.u64(0..=within.max(1));
+        let span = if self.many() { within.max(self.settings.call_span()) } else { within.max(1) };
+        let least = if self.many() && self.call_failures > 0 { span / 2 } else { 0 };
+        let at = now + self.rng.u64(least..=span);
         self.wakes.push(Reverse((at, Wake::Subscribe)));
     }
 
@@ -183,13 +187,7 @@
             let ready = m.state == MemberState::Ready;
             let at = *self.index.entry(m.worker).or_insert_with(|| {
                 let (budget, member) = (self.rng.f64(), Member { size: 0.0, ..*m });
-                self.workers.push(Worker {
-                    member,
-                    budget,
-                    reckoned: now,
-                    slowness: 1.0,
-                    ..Worker::default()
-                });
+                self.workers.push(Worker { member, budget, slowness: 1.0, ..Worker::default() });
                 self.workers.len() - 1
             });
             let kind = usize::from(m.kind);
@@ -211,7 +209,7 @@
                 size = k.nominal;
             }
             if m.born != w.member.born {
-                (w.failures, w.rest, w.budget, w.reckoned) = (0, 0, self.rng.f64(), now);
+                (w.failures, w.rest, w.budget) = (0, 0, self.rng.f64());
                 (w.report, w.drift) = (Report::default(), 0.0);
             }
             // A listed size that wavers does not rebuild the cycle.
@@ -232,10 +230,10 @@
         }
     }
 
-    /// Whether dispatchers are so many that a report is out of date by what others sent since. Guards against all
-    /// of them running after the same slots: they were free when the report was made, and are not any more.
+    /// Whether dispatchers are so many that a report is out of date by what others sent since. Guards against
+    /// all of them running after the same slots: free when the report was made, and not any more.
     fn many(&self) -> bool {
-        self.settings.dispatchers > MANY
+        self.settings.many()
     }
 
     /// Lays out every period anew: a worker with n turns has them evenly spaced, and workers start at points
@@ -286,22 +284,18 @@
         if w.member.born == 0 { 1.0 } else { (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0) }
     }
 
-    /// Whether a worker can be given its turn now. A warming one takes no more than this dispatcher's part of
-    /// what a worker of its kind can do, cut to its warmth, so that all together do not push it over.
-    fn open(&mut self, now: Micros, i: usize) -> bool {
+    /// Whether a worker can be given its turn now. A warming one has to have saved up for it.
+    fn open(&self, now: Micros, i: usize) -> bool {
+        let w = &self.workers[i];
+        w.ready && w.rest <= now && (w.budget >= 1.0 || self.warmth(now, w) == 1.0)
+    }
+
+    /// A turn of a warming worker is worth its warmth: it gets its part of what there is to do, however unlike
+    /// dispatchers are. `CREDITS` turns a job at most, lest a fleet that is all cold be pushed over.
+    fn credit(&mut self, now: Micros, i: usize) {
         let warmth = self.warmth(now, &self.workers[i]);
         let w = &mut self.workers[i];
-        if warmth < 1.0 {
-            let all = &self.cycles[0];
-            let sharers =
-                f64::from(self.settings.dispatchers) * all.part as f64 / all.order.len().max(1) as f64;
-            let slots = self.kinds[usize::from(w.member.kind)].slots.max(1.0);
-            let rate = slots / self.run * self.settings.rules.fall_multiple / 2.0 / sharers.max(1.0);
-            let span = now.saturating_sub(w.reckoned) as f64;
-            w.budget = (w.budget + span * rate * warmth).min(1.5);
-            w.reckoned = now;
-        }
-        w.ready && w.rest <= now && (warmth == 1.0 || w.inside && w.budget >= 1.0)
+        w.budget = (w.budget + warmth).min(1.5);
     }
 
     fn arrive(&mut self, now: Micros, mut job: Job, out: &mut Vec<Action>) {
@@ -323,11 +317,14 @@
     fn turn(&mut self, now: Micros, cycle: usize) -> usize {
         let offset = self.settings.number as usize;
         let length = self.cycles[cycle].period.len();
-        for _ in 0..length {
+        for passed in 0..length {
             let c = &mut self.cycles[cycle];
             c.count += 1;
             let rank = c.period[(c.count + offset) % length];
             let worker = c.order[rank];
+            if passed < CREDITS {
+                self.credit(now, worker);
+            }
             if self.open(now, worker) {
                 return rank;
             }
@@ -500,13 +497,13 @@
         let rest = self.run * f64::from(1u32 << w.failures.min(4)) * (0.5 + self.rng.f64());
         w.rest = now + rest as Micros;
         // Guards against a watch that has fallen silent: a worker that fails may have left the list.
-        if self.settings.must_subscribe && self.doubt <= now {
+        if self.settings.must_subscribe && self.doubt <= now && !self.many() {
             self.doubt = now + self.settings.rules.ask_within / 2;
             self.call(now, self.settings.rules.ask_within / 20);
         }
     }
 
-    fn may_send(&mut self, now: Micros, id: JobId, i: usize) -> bool {
+    fn may_send(&self, now: Micros, id: JobId, i: usize) -> bool {
         let open = self.open(now, i);
         let Some(p) = self.jobs.get(&id).filter(|_| open) else { return false };
         let w = &self.workers[i];
@@ -538,11 +535,8 @@
         self.held.remove(&(p.came, id));
         let class = &self.settings.classes[p.job.class];
         if self.settings.tells_start && self.settings.limits.cancel && class.repeat == Repeat::Safe {
-            let patience = if self.settings.dispatchers > MANY && p.attempts.len() < QUICK {
-                class.aim / 10
-            } else {
-                class.aim
-            };
+            let patience =
+                if self.settings.many() && p.attempts.len() < QUICK { class.aim / 10 } else { class.aim };
             self.wakes.push(Reverse((now + patience, Wake::Unheard(id, p.attempts.len()))));
         }
         p.attempts.push(Attempt {
@@ -567,6 +561,7 @@
         match e.outcome {
             Outcome::Served => self.workers[i].failures = 0,
             // Guards against sending on and on to a worker whose report, still old, shows room.
+            Outcome::Full if self.many() => self.workers[i].rest = now + self.run as Micros,
             Outcome::Full => self.workers[i].drift += FULL,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => self.failed(now, i),
             _ => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,9 +9,8 @@
     pub ready: bool,
     /// It has turns in this dispatcher's cycle.
     pub inside: bool,
-    /// What a warming worker may be sent, in jobs, and when that was last reckoned.
+    /// What a warming worker may be sent, in jobs.
     pub budget: f64,
-    pub reckoned: Micros,
     /// The job for which a probe is out.
     pub asked: Option<JobId>,
     pub report: Report,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -70,3 +70,144 @@
     assert!(f64::from(most) <= 3.0 * mean, "one worker got {most} of 500 jobs, {mean:.1} is its part");
     assert!(probes <= 5 * DISPATCHERS, "{probes} probes for 500 jobs");
 }
+
+/// Calls that discovery takes in, one after the other; one that would wait for more than 2 s fails when it has.
+struct Roster {
+    busy: Micros,
+    calls: Vec<Micros>,
+}
+
+impl Roster {
+    const EACH: Micros = 65 * MS;
+
+    /// When a call is answered, or when it fails: to serve it takes its time all the same.
+    fn call(&mut self, now: Micros) -> Result<Micros, Micros> {
+        self.calls.push(now);
+        self.busy = self.busy.max(now) + Roster::EACH;
+        if self.busy > now + 2 * SECOND { Err(now + 2 * SECOND) } else { Ok(self.busy) }
+    }
+}
+
+/// Most dispatchers are killed at once and come back with an old list. Guards against calls that come faster than
+/// discovery works through them, and come back faster when they fail, so that for 15 s nobody got a list.
+#[test]
+fn a_hundred_dispatchers_that_start_together_all_get_the_list() {
+    let (members, start) = (members(), 100 * SECOND);
+    let mut roster = Roster { busy: start, calls: Vec::new() };
+    let mut fleet: Vec<Dispatcher> = (0..DISPATCHERS)
+        .map(|number| {
+            let settings = Settings { must_subscribe: true, ..fleet_settings(number) };
+            Dispatcher::new(settings, u64::from(number))
+        })
+        .collect();
+    // What happens next at each: a wake-up, an answer, or a failure.
+    let mut due: Vec<(Micros, usize, u8)> = (0..fleet.len()).map(|n| (start, n, 0)).collect();
+    let mut told: BTreeMap<usize, Micros> = BTreeMap::new();
+    while let Some(at) = (0..due.len()).min_by_key(|&at| due[at]) {
+        let (now, n, what) = due.swap_remove(at);
+        if now > start + 60 * SECOND {
+            break;
+        }
+        let mut out = Vec::new();
+        match what {
+            0 => fleet[n].handle(now, Event::Cached(&members), &mut out),
+            1 => fleet[n].handle(now, Event::Wake, &mut out),
+            2 => fleet[n].handle(now, Event::ListFailed, &mut out),
+            _ => {
+                told.entry(n).or_insert(now);
+                fleet[n].handle(now, Event::List(&members), &mut out);
+            }
+        }
+        for action in out {
+            match action {
+                Action::WakeAt(at) => due.push((at, n, 1)),
+                Action::Subscribe => due.push(match roster.call(now) {
+                    Ok(at) => (at, n, 3),
+                    Err(at) => (at, n, 2),
+                }),
+                _ => {}
+            }
+        }
+    }
+    let last = told.values().max().map_or(0, |&at| at - start);
+    let most = (0..60).map(|s| roster.calls.iter().filter(|&&at| (at - start) / SECOND == s).count()).max();
+    assert_eq!(told.len(), fleet.len(), "some never had a list; {} calls", roster.calls.len());
+    assert!(last <= 15 * SECOND, "the last list came after {last} us");
+    assert!(most <= Some(25), "{most:?} calls in one second");
+}
+
+/// A lost zone made every dispatcher that met it ask for the list at once. Guards against that: the watch tells.
+#[test]
+fn failures_of_workers_do_not_call_discovery_where_dispatchers_are_many() {
+    let (members, now) = (members(), 100 * SECOND);
+    let mut calls = 0;
+    for number in 0..DISPATCHERS {
+        let settings = Settings { must_subscribe: true, ..fleet_settings(number) };
+        let mut dispatcher = Dispatcher::new(settings, u64::from(number));
+        let mut out = Vec::new();
+        dispatcher.handle(now, Event::List(&members), &mut out);
+        dispatcher.handle(now, job(1, 0, now), &mut out);
+        let worker = sent(&out).expect("all are idle");
+        let report = Report::default();
+        let (job, outcome) = (JobId(1), Outcome::Unreachable);
+        let end = Ended { job, attempt: 0, worker, outcome, latency: MS, finished: false, report };
+        dispatcher.handle(now + MS, Event::Ended(end), &mut out);
+        out.clear();
+        dispatcher.handle(now + SECOND, Event::Wake, &mut out);
+        calls += out.iter().filter(|a| **a == Action::Subscribe).count();
+    }
+    assert_eq!(calls, 0, "a dead worker costs the fleet calls for the list");
+}
+
+/// Sixty workers of three slots, jobs of 300 ms: 180 at a time, 600 a second. Most dispatchers send little, a few a
+/// lot. Guards against a new worker that is pushed over by all together, and against one that stands idle since
+/// each keeps a part of what it can take for itself.
+#[test]
+fn a_worker_just_born_gets_its_part_from_a_hundred_unlike_dispatchers() {
+    let (mut members, start) = (members(), 100 * SECOND);
+    let cold = members[7].worker;
+    members[7].born = start;
+    let mut fleet = fleet(&members, start);
+    // 55 % of what all can do: 330 jobs a second, 13 % of them by one dispatcher.
+    let mut jobs: Vec<(Micros, usize)> = Vec::new();
+    for n in 0..100_usize {
+        let rate = if n == 0 { 43.0 } else { 68.0 / (n as f64 + 1.0) };
+        let count = (rate * 6.0) as u64;
+        jobs.extend((0..count).map(|i| (start + (i * 6_000_000 + n as u64 * 9973) / count.max(1), n)));
+    }
+    jobs.sort_unstable();
+    let (mut taken, total) = (Vec::new(), jobs.len());
+    let mut ends: Vec<(Micros, usize, u64, WorkerId)> = Vec::new();
+    for (id, (now, n)) in jobs.into_iter().enumerate() {
+        ends.sort_unstable();
+        while let Some(&(at, n, id, worker)) = ends.first().filter(|end| end.0 <= now) {
+            ends.remove(0);
+            let (job, report) = (JobId(id), Report::default());
+            let outcome = Outcome::Served;
+            let end = Ended { job, attempt: 0, worker, outcome, latency: 300 * MS, finished: true, report };
+            fleet[n].handle(at, Event::Ended(end), &mut Vec::new());
+        }
+        let (id, mut out) = (id as u64 + 1, Vec::new());
+        fleet[n].handle(now, job(id, 2, now), &mut out);
+        let Some(worker) = sent(&out) else { continue };
+        fleet[n].handle(now, Event::Started { job: JobId(id), attempt: 0 }, &mut Vec::new());
+        ends.push((now + 300 * MS, n, id, worker));
+        if worker == cold {
+            taken.push(now);
+        }
+    }
+    // Three slots at 0.1 of their speed, warm after 20 s: it can do 1 a second at first, 3.7 after 6 s.
+    let can = |at: Micros| 10.0 * (0.1 + 0.9 * (at - start) as f64 / 20e6);
+    let window = 3 * SECOND;
+    for &from in &taken {
+        let within = taken.iter().filter(|&&at| at >= from && at < from + window).count() as f64;
+        let most = 2.5 * can(from) * 3.0;
+        assert!(within <= most + 1.0, "{within} jobs within 3 s where {most:.1} push it over");
+    }
+    let allowed = can(start + window) * 6.0;
+    assert!(
+        taken.len() as f64 >= 0.3 * allowed,
+        "{} of {total} jobs where it can do {allowed:.1}",
+        taken.len()
+    );
+}
