--- a/src/logic.rs
+++ b/src/logic.rs
@@ -290,8 +290,8 @@
         w.ready && w.rest <= now && (w.budget >= 1.0 || self.warmth(now, w) == 1.0)
     }
 
-    /// A turn of a warming worker is worth its warmth: it gets its part of what there is to do, however unlike
-    /// dispatchers are. `CREDITS` turns a job at most, lest a fleet that is all cold be pushed over.
+    /// A turn of a warming worker is worth its warmth: it gets its part of what there is to do, however
+    /// unlike dispatchers are. `CREDITS` turns a job at most, lest a fleet that is all cold be pushed over.
     fn credit(&mut self, now: Micros, i: usize) {
         let warmth = self.warmth(now, &self.workers[i]);
         let w = &mut self.workers[i];
