--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,8 @@
 const COME_BACK: Micros = 2_000_000;
 /// Turns that one job may hand on to the next worker and still count for those that warm up.
 const CREDITS: usize = 2;
+/// How long a worker that was heard of counts as well where dispatchers are many.
+const HEARD: Micros = 1_000_000;
 /// Attempts of a safe job that are called off at once where they do not start.
 const QUICK: usize = 3;
 /// What a worker that turned a job away counts as holding until its next report.
@@ -336,7 +338,7 @@
     /// probed each is asked at its turn; no answer in good time sends the job on as well.
     fn step(&mut self, now: Micros, id: JobId, out: &mut Vec<Action>) {
         let Some(p) = self.jobs.get(&id).filter(|p| p.waits) else { return };
-        let (cycle, slots, came) = (p.cycle, p.job.slots, p.came);
+        let (cycle, slots, came, class) = (p.cycle, p.job.slots, p.came, p.job.class);
         let (mut next, mut steps, mut best) = (p.next, p.steps, p.best);
         let (length, part) = (self.cycles[cycle].order.len(), self.cycles[cycle].part);
         // Past this a job is held here: it would wait there until it is late.
@@ -377,14 +379,10 @@
                 continue;
             }
             steps += 1;
-            if many {
-                if self.workers[i].waiting < 1.0 {
-                    return self.send(now, id, i, out);
-                }
-                best = better(best, self.workers[i].waiting, i);
-                continue;
-            }
-            if self.settings.limits.probe && now > self.workers[i].read + self.settings.quantum {
+            let fresh = if many { HEARD } else { self.settings.quantum };
+            // A safe job that meets a bad worker goes on, and tells of it: only others look first.
+            let looks = !many || self.settings.classes[class].repeat != Repeat::Safe;
+            if self.settings.limits.probe && looks && now > self.workers[i].read + fresh {
                 self.workers[i].asked = Some(id);
                 out.push(Action::Probe { worker: self.workers[i].member.worker });
                 break;
@@ -434,6 +432,8 @@
             (None, None, None) if self.settings.tells_start => w.waiting - 1.0,
             (None, None, None) => w.waiting - 3.0,
         };
+        // What others sent since outweighs a report of a second ago: only what waits here is sure.
+        let queue = if self.many() { w.waiting - slots.max(1.0) } else { queue };
         // Guards against a report that is too old to show what is out there: own attempts take their slots
         // whatever it says.
         let queue = if slots_seen > 0.0 { queue.max(w.own - slots_seen) } else { queue };
@@ -466,7 +466,9 @@
             if self.prompt.len() <= zone {
                 self.prompt.resize(zone + 1, 0.0);
             }
-            let (usual, latency) = (&mut self.prompt[zone], latency as f64);
+            // One that warms up is as slow as it is cold, and gets its part by that already.
+            let latency = latency as f64 * self.warmth(now, &self.workers[i]);
+            let usual = &mut self.prompt[zone];
             *usual = match *usual {
                 0.0 => latency,
                 median => median * if latency > median { 1.0 + GAIN } else { 1.0 - GAIN },
