Remove the mark of a worker's part, which nothing reads any more; mend a comment

Seen on rereading: rebuild() still marked the workers of the part for a budget that no longer asks. No decision changes.

--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -90,7 +90,7 @@
     /// connection: the old one may have fallen silent.
     pub fn call(&mut self, net: &mut Sockets, now: f64, settings: &Settings) -> Option<Heard> {
         if let Watch::Calling { since, .. } = self.watch {
-            // A poll waits for its turn; to call again would only make the line longer.
+            // A call that is given up takes discovery's time all the same: many would only make the line longer.
             if now < since + FRESH || settings.many() {
                 return None;
             }
@@ -98,8 +98,7 @@
         }
         // Guards against many dispatchers that come back at one time as nothing has changed for long.
         let longest = if settings.many() { LONG_WAIT * (0.5 + 0.5 * self.rng.f64()) } else { WAIT };
-        let seq = self.seq;
-        let wait = seq.map_or(0.0, |_| longest);
+        let wait = self.seq.map_or(0.0, |_| longest);
         self.watch = Watch::Calling { since: now, until: now + wait + GRACE };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
         let conn = match self.conn.filter(fresh) {
@@ -111,7 +110,7 @@
         };
         let Ok(conn) = conn else { return Some(self.failed(net)) };
         self.conn = Some(conn);
-        let target = match seq {
+        let target = match self.seq {
             Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={}", wait as u64),
             None => "/discovery/hosts".to_string(),
         };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -264,10 +264,6 @@
             cycle.part = part.max(zoned).clamp(n.min(1), n);
             let total: f64 = order[..cycle.part].iter().map(|&i| self.workers[i].member.size).sum();
             let mean = (total / cycle.part as f64).max(f64::MIN_POSITIVE);
-            if cycle.kind.is_none() {
-                self.workers.iter_mut().for_each(|w| w.inside = false);
-                order[..cycle.part].iter().for_each(|&i| self.workers[i].inside = true);
-            }
             let mut entries = Vec::new();
             for (rank, &i) in cycle.order[..cycle.part].iter().enumerate() {
                 let turns = (self.workers[i].member.size / mean * TURNS).round().max(1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,8 +7,6 @@
 pub struct Worker {
     pub member: Member,
     pub ready: bool,
-    /// It has turns in this dispatcher's cycle.
-    pub inside: bool,
     /// What a warming worker may be sent, in jobs.
     pub budget: f64,
     /// The job for which a probe is out.
