Console, figures and drain for operators; clients' address shared by SO_REUSEPORT

Not taken: counting in the fronts from their replies, since a refusal of the core and of the module would then be counted in two places, and the Gearman front not at all. The module gains one read-only query (whether a worker is avoided) for `lb_members_unavailable`.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 use crate::Dispatcher;
 use crate::api::{Action, Event, Micros, Outcome, Report, WorkerId};
 use crate::settings::Site;
+use crate::telemetry::{Gauges, Telemetry};
 
 /// What a front is to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -71,6 +72,7 @@
     actions: Vec<Action>,
     commands: VecDeque<Command>,
     counters: Counters,
+    telemetry: Telemetry,
     stopping: bool,
     /// Since when, and by when all that came since is to be over.
     hurry: Option<(f64, f64)>,
@@ -79,7 +81,9 @@
 impl Core {
     /// A core with an empty server table that holds so many sessions at most.
     pub fn new(site: Site, seed: u64, clock: Clock, limit: usize) -> Core {
+        let lanes = site.grades.iter().map(|g| g.name.clone()).collect();
         Core {
+            telemetry: Telemetry::new(lanes),
             module: Dispatcher::new(site.settings.clone(), seed),
             clock,
             site,
@@ -236,4 +240,22 @@
     pub fn counters(&self) -> &Counters {
         &self.counters
     }
+
+    /// A dispatch's request was written whole to its backend server.
+    pub fn written_whole(&mut self) {
+        self.telemetry.written();
+    }
+
+    /// The operators' counters.
+    pub fn telemetry(&self) -> &Telemetry {
+        &self.telemetry
+    }
+
+    /// The operators' gauges as they are now: sessions open, backend servers listed, those that are avoided.
+    pub fn gauges(&self) -> Gauges {
+        let now = micros(self.clock.now());
+        let listed = self.table.listed();
+        let avoided = listed.iter().filter(|s| self.module.avoids(now, s.line.member.worker)).count();
+        Gauges { pending: self.sessions.len() as u64, members: listed.len() as u64, members_unavailable: avoided as u64 }
+    }
 }
--- a/src/core/stages/admit.rs
+++ b/src/core/stages/admit.rs
@@ -1,6 +1,7 @@
 //! Admit: what the program itself cannot hold is denied before the module sees it.
 
 use crate::core::{Core, Request, Verdict};
+use crate::telemetry::Disposition;
 
 /// Guards against more sessions than memory is planned for, and against new ones while the program stops.
 /// Nothing was sent, so that a denial is harmless for any class.
@@ -17,6 +18,7 @@
         return Ok(request);
     }
     core.counters.turned_away += 1;
+    core.telemetry.answered(request.class, Disposition::Rejected);
     // A full dispatcher has room again when sessions end; one that stops has gone by then.
     let retry_after = if full { core.site.max_retry_after } else { 0.0 };
     Err(Verdict::Denied { retry_after })
--- a/src/core/stages/book.rs
+++ b/src/core/stages/book.rs
@@ -3,17 +3,29 @@
 use crate::api::{Event, JobId};
 use crate::core::stages::route;
 use crate::core::{Command, Core, SessionId, Verdict};
+use crate::telemetry::Disposition;
 
 /// Gives a session its final answer. Only the first counts.
 pub fn answer(core: &mut Core, id: SessionId, verdict: Verdict) {
     let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
     session.over = true;
+    let class = session.request.class;
     core.ended.push(id);
-    match verdict {
-        Verdict::Served(_) => core.counters.served += 1,
-        Verdict::Denied { .. } => core.counters.denied += 1,
-        Verdict::Failed => core.counters.failed += 1,
-    }
+    let result = match verdict {
+        Verdict::Served(_) => {
+            core.counters.served += 1;
+            Disposition::Completed
+        }
+        Verdict::Denied { .. } => {
+            core.counters.denied += 1;
+            Disposition::Rejected
+        }
+        Verdict::Failed => {
+            core.counters.failed += 1;
+            Disposition::Failed
+        }
+    };
+    core.telemetry.answered(class, result);
     core.commands.push_back(Command::Answer { session: id, verdict });
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,15 +1,21 @@
 //! The fronts, and the gateway that joins them to the sockets.
 
+pub mod console;
 pub mod discovery;
 pub mod gearman;
 pub mod operator;
 pub mod platform;
 pub mod stream;
 
+use std::net::SocketAddr;
+
 use crate::core::{Clock, Core};
-use crate::json::{self, JsonValue, field};
+use crate::json::{self, JsonValue, field, text};
+use crate::lifecycle::{Cause, Lifecycle, Phase};
 use crate::net::{ConnId, Handler, Net};
+use crate::telemetry::{self, Gauges};
 
+use console::{Call, Console};
 use gearman::Gearman;
 use platform::Platform;
 use stream::Stream;
@@ -85,6 +91,9 @@
     pub gearman: Option<gearman::Config>,
     /// The stream front's.
     pub stream: Option<stream::Config>,
+    /// The console's address: of `$LB_CONSOLE`, of `console` in the platform's configuration, or of the
+    /// operator's file, in that order.
+    pub console: Option<SocketAddr>,
 }
 
 impl Files {
@@ -94,6 +103,13 @@
         let settings = config.as_ref().and_then(|c| field(c, "settings"));
         let operator = self.operator.as_ref().map(|path| operator::read(path.as_ref()));
         let operator = operator.transpose().map_err(|e| e.to_string())?;
+        let console = match std::env::var("LB_CONSOLE") {
+            Ok(text) => Some(text.parse().map_err(|_| format!("LB_CONSOLE is no address: {text}"))?),
+            Err(_) => match config.as_ref().and_then(|c| text(c, "console")) {
+                Some(text) => Some(text.parse().map_err(|_| format!("`console` is no address: {text}"))?),
+                None => operator.as_ref().and_then(|o| o.console),
+            },
+        };
         let (table, stream) = operator.map_or((None, None), |o| (o.gearman, o.stream));
         let path = self.gearman.as_ref().or(self.operator.as_ref());
         let file = match (&self.gearman, table) {
@@ -110,7 +126,7 @@
         let platform = config
             .zip(self.config.as_ref())
             .map(|(config, path)| platform::Config::read(&config, taken).map_err(|e| format!("{path}: {e}")));
-        Ok(Configs { platform: platform.transpose()?, gearman, stream })
+        Ok(Configs { platform: platform.transpose()?, gearman, stream, console })
     }
 }
 
@@ -129,6 +145,10 @@
     pub gearman: Option<Gearman>,
     /// The stream front, where it is set up.
     pub stream: Option<Stream>,
+    /// The operators' console, where it is set up.
+    pub console: Option<Console>,
+    /// Where the process is in its life.
+    pub life: Lifecycle,
     /// The clock.
     pub clock: Clock,
     /// The files that its settings come from.
@@ -138,6 +158,9 @@
 impl Gateway {
     /// Does what is due by now.
     pub fn tick(&mut self) {
+        if let Some(console) = &mut self.console {
+            console.sweep(&mut self.net, self.clock.now());
+        }
         if let Some(front) = &mut self.platform {
             front.tick(&mut self.net);
         }
@@ -153,11 +176,42 @@
     pub fn next(&self) -> f64 {
         let platform = self.platform.as_ref().map_or(f64::INFINITY, Platform::next);
         let gearman = self.gearman.as_ref().map_or(f64::INFINITY, Gearman::next);
-        platform.min(gearman).min(self.stream.as_ref().map_or(f64::INFINITY, Stream::next))
+        let console = self.console.as_ref().map_or(f64::INFINITY, Console::next);
+        platform.min(gearman).min(self.stream.as_ref().map_or(f64::INFINITY, Stream::next)).min(console)
+    }
+
+    /// Carries an operator's call out and words its answer.
+    pub fn call(&mut self, call: Call) -> String {
+        let now = self.clock.now();
+        match call {
+            Call::Readyz if self.life.ready() => "ACK ready\n".into(),
+            Call::Readyz => format!("NAK {}\n", phase(self.life.phase())),
+            Call::Telemetry => self.telemetry() + "--\n",
+            Call::Evacuate | Call::Activate if self.life.stopping() => "NAK stopping\n".into(),
+            Call::Evacuate | Call::Activate => {
+                let evacuate = call == Call::Evacuate;
+                self.life.on(now, if evacuate { Cause::Evacuate } else { Cause::Activate });
+                if let Some(front) = &mut self.platform {
+                    front.evacuate(&mut self.net, evacuate);
+                }
+                "ACK\n".into()
+            }
+        }
+    }
+
+    /// The figures of all fronts, in the text exposition format.
+    pub fn telemetry(&self) -> String {
+        let mut cores: Vec<&Core> = Vec::new();
+        cores.extend(self.platform.as_ref().map(Platform::core));
+        cores.extend(self.gearman.as_ref().map(Gearman::core));
+        let gauges = cores.iter().fold(Gauges::default(), |sum, core| sum + core.gauges());
+        let counts: Vec<_> = cores.iter().map(|core| core.telemetry()).collect();
+        telemetry::render(&counts, gauges)
     }
 
     /// Begins to stop: what was taken is finished, and nothing new is taken after a short while.
     pub fn stop(&mut self) {
+        self.life.on(self.clock.now(), Cause::Terminate { successor: false });
         if let Some(front) = &mut self.platform {
             front.stop();
         }
@@ -172,7 +226,7 @@
     /// Reads the files again and takes their settings over; what is in flight goes on. An error leaves all
     /// settings in force as they are.
     pub fn reload(&mut self) -> Result<(), String> {
-        let Configs { platform: config, gearman: file, stream } = self.files.read()?;
+        let Configs { platform: config, gearman: file, stream, .. } = self.files.read()?;
         // All must fit before any is taken over.
         let of = |files: &Option<String>| files.clone().unwrap_or_default();
         if let (Some(front), Some(config)) = (&self.platform, &config) {
@@ -216,8 +270,29 @@
     }
 }
 
+/// A phase as the console names it.
+fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Serving => "serving",
+        Phase::Evacuating => "evacuating",
+        Phase::Draining => "draining",
+        Phase::HandingOver => "handing over",
+        Phase::Stopped => "stopped",
+    }
+}
+
 impl Handler for Gateway {
     fn ready(&mut self, conn: ConnId) {
+        if let Some(console) = self.console.as_mut().filter(|console| console.owns(conn)) {
+            let now = self.clock.now();
+            if let Some(call) = console.ready(&mut self.net, conn, now) {
+                let answer = self.call(call);
+                if let Some(console) = &mut self.console {
+                    console.answer(&mut self.net, conn, now, &answer);
+                }
+            }
+            return;
+        }
         let (platform, stream) = (&mut self.platform, &mut self.stream);
         if let Some(front) = platform.as_mut().filter(|front| front.owns(conn)) {
             front.ready(&mut self.net, conn);
@@ -229,6 +304,9 @@
     }
 
     fn waiting(&mut self, listener: usize) {
+        if let Some(console) = self.console.as_mut().filter(|console| console.listener() == listener) {
+            return console.accept(&mut self.net, self.clock.now());
+        }
         let (platform, stream) = (&mut self.platform, &mut self.stream);
         if let Some(front) = platform.as_mut().filter(|front| front.listener() == listener) {
             front.accept(&mut self.net);
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -36,7 +36,7 @@
         errors: Vec<stream::ConfigError>,
     },
     /// It has no front's table.
-    #[error("{file}: neither [gearman] nor [stream]: there is nothing to set up")]
+    #[error("{file}: neither [gearman], [stream] nor `console`: there is nothing to set up")]
     Empty {
         /// Its path.
         file: String,
@@ -53,11 +53,14 @@
     pub gearman: Option<JsonValue>,
     /// The stream front's.
     pub stream: Option<stream::Config>,
+    /// The operators' console, if the file names its address.
+    pub console: Option<std::net::SocketAddr>,
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct File {
+    console: Option<std::net::SocketAddr>,
     gearman: Option<GearmanTable>,
     stream: Option<stream::Table>,
 }
@@ -117,12 +120,12 @@
     let parse = |cause| FileError::Parse { file: file.into(), cause };
     let known: File = toml::from_str(text).map_err(parse)?;
     let mut whole: toml::Table = toml::from_str(text).map_err(parse)?;
-    if known.gearman.is_none() && known.stream.is_none() {
+    if known.gearman.is_none() && known.stream.is_none() && known.console.is_none() {
         return Err(FileError::Empty { file: file.into() });
     }
     let stream = known.stream.map(stream::Table::check).transpose();
     let stream = stream.map_err(|errors| FileError::Stream { file: file.into(), errors })?;
-    Ok(Operator { gearman: whole.remove("gearman").map(json), stream })
+    Ok(Operator { gearman: whole.remove("gearman").map(json), stream, console: known.console })
 }
 
 /// A value of TOML as one of JSON; a date becomes its text. The parser of TOML bounds its nesting.
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -270,6 +270,7 @@
         let path = message.target.split('?').next().unwrap_or("").to_string();
         let close = message.close;
         match (message.method.as_str(), path.as_str()) {
+            ("GET", "/up") if self.sends_away() => self.reply(net, id, 503, &[], b"evacuating\n", close),
             ("GET", "/up") => self.reply(net, id, 200, &[], b"ready\n", close),
             ("GET", "/counters") => {
                 let text = self.core.counters().to_string();
@@ -367,7 +368,9 @@
         body: &[u8],
         close: bool,
     ) {
-        let close = close || self.closes() || matches!(status, 400 | 413 | 501);
+        // A client sent away is closed once answered; call-backs of backend servers go on.
+        let away = self.evacuating && self.clients.conns.get(&id).is_some_and(|c| !c.calls_back);
+        let close = close || away || self.closes() || matches!(status, 400 | 413 | 501);
         if !net.write(id, &http::answer(status, headers, body, close)) {
             return self.drop_client(net, id);
         }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -39,6 +39,8 @@
     jobs: FxHashMap<SessionId, Job>,
     ids: FxHashMap<Rc<str>, SessionId>,
     stopping: Option<Leaving>,
+    /// Clients are sent away: `/up` says no, and connections are closed once they are idle.
+    evacuating: bool,
 }
 
 impl Platform {
@@ -53,6 +55,7 @@
             jobs: FxHashMap::default(),
             ids: FxHashMap::default(),
             stopping: None,
+            evacuating: false,
         };
         front.core.known(known.1);
         front
@@ -153,6 +156,10 @@
         self.carry_out(net);
         let now = self.core.clock().now();
         self.sweep_clients(net, now);
+        if self.evacuating && !self.closes() {
+            self.close_idle(net);
+            self.carry_out(net);
+        }
         if self.closes() {
             self.core.stop();
             self.close_idle(net);
@@ -173,6 +180,20 @@
         wake.min(self.backends.next()).min(self.discovery.next()).min(self.clients.next()).min(last_call)
     }
 
+    /// Sends clients away, or takes them again. What is open is finished, and answered with a close.
+    pub fn evacuate(&mut self, net: &mut Sockets, on: bool) {
+        self.evacuating = on;
+        if on {
+            self.close_idle(net);
+            self.carry_out(net);
+        }
+    }
+
+    /// Whether clients are being sent away, by an operator or since the program stops.
+    fn sends_away(&self) -> bool {
+        self.evacuating || self.closes()
+    }
+
     /// Begins to stop.
     pub fn stop(&mut self) {
         self.stopping.get_or_insert_with(|| Leaving::begin(&mut self.core));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,8 @@
 mod logic;
 pub mod net;
 pub mod settings;
+pub mod lifecycle;
+pub mod telemetry;
 mod state;
 
 pub use logic::Dispatcher;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -102,6 +102,11 @@
         self.rebuild();
     }
 
+    /// Whether a worker is given no turns now: draining, off the list, or resting after failures.
+    pub fn avoids(&self, now: Micros, worker: WorkerId) -> bool {
+        self.index.get(&worker).is_none_or(|&i| !self.workers[i].ready || self.workers[i].rest > now)
+    }
+
     /// Takes one event at time `now` and adds what follows from it to `out`.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
         match event {
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,9 @@
 use micabeam::front::gearman::{self, Gearman};
 use micabeam::front::platform::{self, Platform};
 use micabeam::front::stream::{self, Stream};
+use micabeam::front::console::Console;
 use micabeam::front::{Configs, Files, Gateway};
+use micabeam::lifecycle::Lifecycle;
 use micabeam::net::Net;
 use micabeam::say;
 
@@ -66,14 +68,16 @@
     let mut net = Net::new(handle);
     let Arguments { operator, gearman } = arguments;
     let files = Files { config: std::env::var("LB_CONFIG").ok(), gearman, operator };
-    let Configs { platform, gearman, stream } = files.read()?;
+    let Configs { platform, gearman, stream, console } = files.read()?;
     if platform.is_none() && gearman.is_none() && stream.is_none() {
         return Err("LB_CONFIG names no configuration, and --operator or --gearman no operator's file".into());
     }
     let gearman = gearman.map(|config| open_gearman(config, &mut net, &clock)).transpose()?;
     let stream = stream.map(|config| open_stream(config, &mut net, &clock)).transpose()?;
     let platform = platform.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
-    let mut gateway = Gateway { net, platform, gearman, stream, clock, files };
+    let console = console.map(|address| open_console(address, &mut net)).transpose()?;
+    let life = Lifecycle::new(clock.now());
+    let mut gateway = Gateway { net, platform, gearman, stream, console, life, clock, files };
     gateway.tick();
     while !gateway.stopped() {
         let wait = (gateway.next() - gateway.clock.now()).clamp(0.0, ROUND);
@@ -90,9 +94,16 @@
     let _ = write!(std::io::stderr(), "{}", gateway.counters());
 }
 
+fn open_console(address: SocketAddr, net: &mut Net<Gateway>) -> Result<Console, String> {
+    let (listener, local) =
+        net.listen(address, false).map_err(|e| format!("cannot listen for the console at {address}: {e}"))?;
+    let _ = writeln!(std::io::stdout(), "micabeam: console at {local}");
+    Ok(Console::new(listener))
+}
+
 fn open_stream(config: stream::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Stream, String> {
     let listen = config.table.listen;
-    let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let (listener, local) = net.listen(listen, false).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: streams at {local}");
     // Dispatchers of one installation draw differently.
     let seed = clock.now() as u64 ^ u64::from(config.table.number) << 48;
@@ -101,7 +112,7 @@
 
 fn open_gearman(config: gearman::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Gearman, String> {
     let listen = config.listen;
-    let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let (listener, local) = net.listen(listen, false).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: gearman at {local}");
     // Alone in its list, it need not differ from others in what it draws.
     Gearman::new(config, clock.now() as u64, clock.clone(), listener)
@@ -122,7 +133,8 @@
 ) -> Result<Platform, String> {
     let discovery = address("LB_DISCOVERY", "discovery", config.discovery)?;
     let listen = address("LB_LISTEN", "listen", config.listen)?;
-    let (listener, local) = net.listen(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    // A process that upgrades this one listens beside it at the same address until this one has gone.
+    let (listener, local) = net.listen(listen, true).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: listening at {local}");
     Ok(Platform::new(config, clock.clone(), listener, discovery))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
 use rustc_hash::FxHashMap;
+use socket2::{Domain, Socket, Type};
 
 pub use budget::Budget;
 pub use conn::{Conn, HELD};
@@ -23,6 +24,9 @@
 pub use ring::Ring;
 pub use splice::{PIPED, Pipe, Pipes};
 
+/// Connections that may wait in a listener's backlog.
+const BACKLOG: i32 = 1024;
+
 /// A connection's id, never used again.
 pub type ConnId = u64;
 
@@ -48,10 +52,18 @@
         Net { handle, conns: FxHashMap::default(), listeners: Vec::new(), last: 0 }
     }
 
-    /// Listens; gives the listener's number and the address it got.
-    pub fn listen(&mut self, address: SocketAddr) -> io::Result<(usize, SocketAddr)> {
-        let listener = Rc::new(TcpListener::bind(address)?);
-        listener.set_nonblocking(true)?;
+    /// Listens; gives the listener's number and the address it got. A `shared` address may be held by another
+    /// process at once (SO_REUSEPORT), as the one that an upgrade replaces; the kernel deals connections out.
+    pub fn listen(&mut self, address: SocketAddr, shared: bool) -> io::Result<(usize, SocketAddr)> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        if shared {
+            socket.set_reuse_port(true)?;
+        }
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        let listener = Rc::new(TcpListener::from(socket));
         let (number, local) = (self.listeners.len(), listener.local_addr()?);
         // Level-triggered: what is left in the backlog is told again.
         let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,167 @@
+//! Figures for operators: counters fed by the core's stages where each event happens, and gauges read when the
+//! figures are asked for, written in the Prometheus text exposition format. No I/O.
+
+use std::fmt::Write;
+
+/// How a session ended, as the figures name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disposition {
+    /// Served with a backend server's result.
+    Completed,
+    /// Denied: refused, harmless to try again.
+    Rejected,
+    /// Failed.
+    Failed,
+}
+
+impl Disposition {
+    const ALL: [Disposition; 3] = [Disposition::Completed, Disposition::Rejected, Disposition::Failed];
+
+    fn name(self) -> &'static str {
+        match self {
+            Disposition::Completed => "completed",
+            Disposition::Rejected => "rejected",
+            Disposition::Failed => "failed",
+        }
+    }
+}
+
+/// What is read when the figures are asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauges {
+    /// Sessions taken and not ended.
+    pub pending: u64,
+    /// Backend servers on the list.
+    pub members: u64,
+    /// Listed backend servers that are avoided now.
+    pub members_unavailable: u64,
+}
+
+impl std::ops::Add for Gauges {
+    type Output = Gauges;
+    fn add(self, other: Gauges) -> Gauges {
+        Gauges {
+            pending: self.pending + other.pending,
+            members: self.members + other.members,
+            members_unavailable: self.members_unavailable + other.members_unavailable,
+        }
+    }
+}
+
+/// The counters of one core, from 0 at the start of the process.
+#[derive(Clone, Debug, Default)]
+pub struct Telemetry {
+    /// The lanes (classes) by index, as the settings name them.
+    lanes: Vec<String>,
+    /// Sessions ended, by lane and result.
+    downstream: Vec<[u64; 3]>,
+    /// Dispatches whose request was written whole to a backend server.
+    upstream: u64,
+}
+
+impl Telemetry {
+    /// Counters at 0 for these lanes.
+    pub fn new(lanes: Vec<String>) -> Telemetry {
+        let downstream = vec![[0; 3]; lanes.len()];
+        Telemetry { lanes, downstream, upstream: 0 }
+    }
+
+    /// A session of a lane has had its final answer.
+    pub fn answered(&mut self, lane: usize, result: Disposition) {
+        if let Some(row) = self.downstream.get_mut(lane) {
+            row[result as usize] += 1;
+        }
+    }
+
+    /// A dispatch's request was written whole to its backend server.
+    pub fn written(&mut self) {
+        self.upstream += 1;
+    }
+
+    /// Sessions of a lane that ended so.
+    pub fn downstream(&self, lane: usize, result: Disposition) -> u64 {
+        self.downstream.get(lane).map_or(0, |row| row[result as usize])
+    }
+
+    /// Dispatches written whole.
+    pub fn upstream(&self) -> u64 {
+        self.upstream
+    }
+}
+
+/// The figures of several cores, summed by lane name, in the text exposition format.
+pub fn render(cores: &[&Telemetry], gauges: Gauges) -> String {
+    let mut lanes: Vec<(&str, [u64; 3])> = Vec::new();
+    for core in cores {
+        for (name, row) in core.lanes.iter().zip(&core.downstream) {
+            match lanes.iter_mut().find(|(n, _)| n == name) {
+                Some((_, sum)) => (0..3).for_each(|i| sum[i] += row[i]),
+                None => lanes.push((name, *row)),
+            }
+        }
+    }
+    let mut text = String::new();
+    text.push_str("# HELP lb_downstream_requests_total Client requests that had their final answer.\n");
+    text.push_str("# TYPE lb_downstream_requests_total counter\n");
+    for (lane, row) in &lanes {
+        for result in Disposition::ALL {
+            let lane = escape(lane);
+            let count = row[result as usize];
+            let _ = writeln!(text, "lb_downstream_requests_total{{lane=\"{lane}\",result=\"{}\"}} {count}", result.name());
+        }
+    }
+    let upstream: u64 = cores.iter().map(|c| c.upstream).sum();
+    let rows = [
+        ("lb_upstream_requests_total", "counter", "Requests written whole to backend servers.", upstream),
+        ("lb_pending", "gauge", "Requests taken and not ended.", gauges.pending),
+        ("lb_members", "gauge", "Backend servers on the list.", gauges.members),
+        ("lb_members_unavailable", "gauge", "Listed backend servers that are avoided now.", gauges.members_unavailable),
+    ];
+    for (name, kind, help, value) in rows {
+        let _ = write!(text, "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}\n");
+    }
+    text
+}
+
+/// A label value as the format has it: backslash, quote and line feed escaped.
+fn escape(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the names and the form that scrapers read, and that lanes of two cores with one name are one.
+    #[test]
+    fn figures_are_rendered_once_per_lane_and_result() {
+        let mut one = Telemetry::new(vec!["search".into(), "hold".into()]);
+        let mut two = Telemetry::new(vec!["search".into()]);
+        one.answered(0, Disposition::Completed);
+        one.answered(0, Disposition::Completed);
+        one.answered(1, Disposition::Rejected);
+        two.answered(0, Disposition::Failed);
+        one.answered(7, Disposition::Failed);
+        one.written();
+        two.written();
+        let gauges = Gauges { pending: 4, members: 3, members_unavailable: 1 };
+        let text = render(&[&one, &two], gauges);
+        let lines: Vec<&str> = text.lines().filter(|l| !l.starts_with('#')).collect();
+        assert_eq!(
+            lines,
+            [
+                "lb_downstream_requests_total{lane=\"search\",result=\"completed\"} 2",
+                "lb_downstream_requests_total{lane=\"search\",result=\"rejected\"} 0",
+                "lb_downstream_requests_total{lane=\"search\",result=\"failed\"} 1",
+                "lb_downstream_requests_total{lane=\"hold\",result=\"completed\"} 0",
+                "lb_downstream_requests_total{lane=\"hold\",result=\"rejected\"} 1",
+                "lb_downstream_requests_total{lane=\"hold\",result=\"failed\"} 0",
+                "lb_upstream_requests_total 2",
+                "lb_pending 4",
+                "lb_members 3",
+                "lb_members_unavailable 1",
+            ]
+        );
+        assert_eq!(escape("a\"b\\c\nd"), "a\\\"b\\\\c\\nd");
+    }
+}
