--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -256,6 +256,10 @@
         let now = micros(self.clock.now());
         let listed = self.table.listed();
         let avoided = listed.iter().filter(|s| self.module.avoids(now, s.line.member.worker)).count();
-        Gauges { pending: self.sessions.len() as u64, members: listed.len() as u64, members_unavailable: avoided as u64 }
+        Gauges {
+            pending: self.sessions.len() as u64,
+            members: listed.len() as u64,
+            members_unavailable: avoided as u64,
+        }
     }
 }
--- a/src/front/console/mod.rs
+++ b/src/front/console/mod.rs
@@ -94,7 +94,8 @@
         for _ in 0..CALLERS {
             let Some(id) = net.accept(self.listener) else { return };
             while self.callers.len() >= CALLERS {
-                let first = self.callers.iter().min_by(|a, b| a.1.came.total_cmp(&b.1.came)).map(|(&id, _)| id);
+                let first =
+                    self.callers.iter().min_by(|a, b| a.1.came.total_cmp(&b.1.came)).map(|(&id, _)| id);
                 let Some(first) = first else { break };
                 self.drop(net, first);
             }
@@ -156,7 +157,8 @@
 
     /// Ends the connections of callers that take too long.
     pub fn sweep(&mut self, net: &mut Sockets, now: f64) {
-        let over: Vec<ConnId> = self.callers.iter().filter(|(_, c)| c.due <= now).map(|(&id, _)| id).collect();
+        let over: Vec<ConnId> =
+            self.callers.iter().filter(|(_, c)| c.due <= now).map(|(&id, _)| id).collect();
         for id in over {
             self.drop(net, id);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,11 +14,11 @@
 pub mod front;
 pub mod json;
 pub mod ledger;
+pub mod lifecycle;
 mod logic;
 pub mod net;
 pub mod settings;
-pub mod lifecycle;
-pub mod telemetry;
 mod state;
+pub mod telemetry;
 
 pub use logic::Dispatcher;
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,10 +10,10 @@
 use calloop::signals::{Signal, Signals};
 use clap::Parser;
 use micabeam::core::Clock;
+use micabeam::front::console::Console;
 use micabeam::front::gearman::{self, Gearman};
 use micabeam::front::platform::{self, Platform};
 use micabeam::front::stream::{self, Stream};
-use micabeam::front::console::Console;
 use micabeam::front::{Configs, Files, Gateway};
 use micabeam::lifecycle::Lifecycle;
 use micabeam::net::Net;
@@ -103,7 +103,8 @@
 
 fn open_stream(config: stream::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Stream, String> {
     let listen = config.table.listen;
-    let (listener, local) = net.listen(listen, false).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let (listener, local) =
+        net.listen(listen, false).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: streams at {local}");
     // Dispatchers of one installation draw differently.
     let seed = clock.now() as u64 ^ u64::from(config.table.number) << 48;
@@ -112,7 +113,8 @@
 
 fn open_gearman(config: gearman::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Gearman, String> {
     let listen = config.listen;
-    let (listener, local) = net.listen(listen, false).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let (listener, local) =
+        net.listen(listen, false).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: gearman at {local}");
     // Alone in its list, it need not differ from others in what it draws.
     Gearman::new(config, clock.now() as u64, clock.clone(), listener)
@@ -134,7 +136,8 @@
     let discovery = address("LB_DISCOVERY", "discovery", config.discovery)?;
     let listen = address("LB_LISTEN", "listen", config.listen)?;
     // A process that upgrades this one listens beside it at the same address until this one has gone.
-    let (listener, local) = net.listen(listen, true).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+    let (listener, local) =
+        net.listen(listen, true).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: listening at {local}");
     Ok(Platform::new(config, clock.clone(), listener, discovery))
 }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -107,7 +107,11 @@
         for result in Disposition::ALL {
             let lane = escape(lane);
             let count = row[result as usize];
-            let _ = writeln!(text, "lb_downstream_requests_total{{lane=\"{lane}\",result=\"{}\"}} {count}", result.name());
+            let _ = writeln!(
+                text,
+                "lb_downstream_requests_total{{lane=\"{lane}\",result=\"{}\"}} {count}",
+                result.name()
+            );
         }
     }
     let upstream: u64 = cores.iter().map(|c| c.upstream).sum();
@@ -115,7 +119,12 @@
         ("lb_upstream_requests_total", "counter", "Requests written whole to backend servers.", upstream),
         ("lb_pending", "gauge", "Requests taken and not ended.", gauges.pending),
         ("lb_members", "gauge", "Backend servers on the list.", gauges.members),
-        ("lb_members_unavailable", "gauge", "Listed backend servers that are avoided now.", gauges.members_unavailable),
+        (
+            "lb_members_unavailable",
+            "gauge",
+            "Listed backend servers that are avoided now.",
+            gauges.members_unavailable,
+        ),
     ];
     for (name, kind, help, value) in rows {
         let _ = write!(text, "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}\n");
