--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -39,6 +39,8 @@
     until: f64,
     /// It has stood idle in the pool.
     kept: bool,
+    /// It has been seen to come up.
+    up: bool,
 }
 
 /// A dispatch that has not ended: its connection until the job was taken, none after.
@@ -97,7 +99,9 @@
         while let Some(id) = self.backends.pool.take(server, now) {
             // Guards against a connection that the peer has closed: a request written there would be lost.
             if net.conn(id).is_some_and(|conn| conn.is_fresh()) {
-                self.backends.conns.insert(id, Backend { server, work, until: f64::INFINITY, kept: true });
+                self.backends
+                    .conns
+                    .insert(id, Backend { server, work, until: f64::INFINITY, kept: true, up: true });
                 return Some(id);
             }
             self.close_backend(net, id);
@@ -115,7 +119,7 @@
         let address: SocketAddr = self.core.table().get(server)?.line.address.parse().ok()?;
         let id = net.open(address).ok()?;
         let until = now + self.core.site().connect_timeout;
-        self.backends.conns.insert(id, Backend { server, work, until, kept: false });
+        self.backends.conns.insert(id, Backend { server, work, until, kept: false, up: false });
         Some(id)
     }
 
@@ -176,9 +180,12 @@
     pub(super) fn backend_ready(&mut self, net: &mut Sockets, id: ConnId) {
         let now = self.core.clock().now();
         let (Some(conn), Some(backend)) = (net.conn(id), self.backends.conns.get_mut(&id)) else { return };
-        let was_connecting = conn.connecting;
         conn.pump();
-        if was_connecting && !conn.connecting && !conn.broken {
+        // Guards against a connection that came up within the write of its request, as on loopback: seen up only
+        // by the state of the socket, it kept its time limit to connect, and a server that took longer than that
+        // to say 202 had its job held never to have run.
+        if !backend.up && !conn.connecting && !conn.broken {
+            backend.up = true;
             match &mut backend.work {
                 Work::Dispatch(_) => backend.until = f64::INFINITY,
                 Work::Spent => backend.until = now + SPARE,
