--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -10,8 +10,10 @@
 use crate::net::http::{self, Bad, Message};
 use crate::net::{Budget, ConnId};
 
-/// How long a client may take to send a whole request, from its connecting or its first byte, in milliseconds.
+/// How long a client may be silent while it owes the rest of a request, or its first byte, in milliseconds.
 const SENDS: f64 = 2500.0;
+/// How long a client may take to send a whole request from its first byte, however steadily, in milliseconds.
+const WHOLE: f64 = 20_000.0;
 /// Time between two looks at what clients take too long for, in milliseconds.
 const LOOK: f64 = 100.0;
 /// How long the end of a connection waits for the peer to end its side, in milliseconds.
@@ -38,6 +40,8 @@
     ends: Option<f64>,
     /// A whole request is to come by then, if one is due.
     sends: Option<f64>,
+    /// Since when a request has been coming, and how many of its bytes were there at the last look.
+    coming: Option<(f64, usize)>,
     /// A request of it was taken, or a call-back of it read.
     usual: bool,
     /// Bytes held for it: of a request that is not whole, or of its session.
@@ -129,8 +133,16 @@
             let Some(id) = net.accept(self.clients.listener) else { return };
             let idle = self.core.clock().now();
             let sends = Some(idle + SENDS);
-            let client =
-                Client { session: None, idle, calls_back: false, ends: None, sends, usual: false, held: 0 };
+            let client = Client {
+                session: None,
+                idle,
+                calls_back: false,
+                ends: None,
+                sends,
+                coming: None,
+                usual: false,
+                held: 0,
+            };
             self.clients.conns.insert(id, client);
             self.clients.look = self.clients.look.min(idle + LOOK);
         }
@@ -178,13 +190,22 @@
             if turns > TURNS {
                 return self.clients.later.push(id);
             }
-            let (read, begun) = (http::request(&mut conn.rx), !conn.rx.is_empty());
+            let (read, part) = (http::request(&mut conn.rx), conn.rx.len());
             if let Some(client) = self.clients.conns.get_mut(&id) {
                 let now = self.core.clock().now();
-                match &read {
-                    Ok(None) if begun && client.sends.is_none() => client.sends = Some(now + SENDS),
-                    Ok(None) => {}
-                    _ => client.sends = None,
+                match (&read, client.coming) {
+                    // Guards against cutting off a client that writes slowly or in pieces but goes on: only
+                    // silence, or a request that takes far too long, ends it.
+                    (Ok(None), Some((since, seen))) if part > seen => {
+                        client.sends = Some((now + SENDS).min(since + WHOLE));
+                        client.coming = Some((since, part));
+                    }
+                    (Ok(None), None) if part > 0 => {
+                        client.sends = Some(now + SENDS);
+                        client.coming = Some((now, part));
+                    }
+                    (Ok(None), _) => {}
+                    _ => (client.sends, client.coming) = (None, None),
                 }
                 self.clients.look = self.clients.look.min(now + LOOK);
             }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 messages on top of httparse: whole requests and answers out of a ring buffer.
 
 use super::Ring;
+use super::body::{BodyError, Decoder, Framing};
 use super::head::{Headers, value};
 
 /// Longest head that is read.
@@ -57,6 +58,12 @@
         ..Message::default()
     };
     message.close = closes(&message.headers, parsed.version);
+    if chunked(&message)? {
+        let Some((body, length)) = dechunk(&bytes[head..])? else { return Ok(None) };
+        message.body = body;
+        ring.consume(head + length);
+        return Ok(Some(message));
+    }
     let length = length(&message)?.unwrap_or(0);
     if bytes.len() < head + length {
         return Ok(None);
@@ -66,6 +73,41 @@
     Ok(Some(message))
 }
 
+/// Whether a request's body comes in chunks. Only `chunked` alone is offered; beside a length it could make two
+/// readers see different messages in the same bytes.
+fn chunked(message: &Message) -> Result<bool, Bad> {
+    let Some(coding) = message.header("transfer-encoding") else { return Ok(false) };
+    if message.header("content-length").is_some() {
+        return Err(Bad::Malformed);
+    }
+    if !coding.trim().eq_ignore_ascii_case("chunked") {
+        return Err(Bad::Unsupported);
+    }
+    Ok(true)
+}
+
+/// A chunked body's payload and the bytes that it took on the wire, once it is whole.
+fn dechunk(mut bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, Bad> {
+    let mut decoder = Decoder::new(Framing::Chunked, BODY as u64).map_err(|_| Bad::TooLarge)?;
+    let (mut body, mut taken) = (Vec::new(), 0);
+    loop {
+        let step = decoder.step(bytes).map_err(|e| match e {
+            BodyError::TooLong => Bad::TooLarge,
+            _ => Bad::Malformed,
+        })?;
+        let payload = &bytes[step.skip..step.skip + step.payload];
+        body.extend_from_slice(payload);
+        decoder.took(payload.len());
+        (bytes, taken) = (&bytes[step.skip + step.payload..], taken + step.skip + step.payload);
+        if decoder.is_done() {
+            return Ok(Some((body, taken)));
+        }
+        if step.skip + step.payload == 0 {
+            return Ok(None);
+        }
+    }
+}
+
 /// Takes a whole answer off the buffer, if there is one; `ended` tells that no more will come.
 pub fn response(ring: &mut Ring, ended: bool) -> Result<Option<Message>, Bad> {
     loop {
@@ -123,6 +165,7 @@
 /// messages in the same bytes.
 fn length(message: &Message) -> Result<Option<usize>, Bad> {
     if message.header("transfer-encoding").is_some() {
+        // Of answers, which come from backend servers: chunks are not read there.
         return Err(Bad::Unsupported);
     }
     let mut lengths = message.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
@@ -189,3 +232,31 @@
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(body.unwrap_or(b""));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ring(bytes: &[u8]) -> Ring {
+        let mut ring = Ring::new(4 * BODY);
+        assert!(ring.push(bytes));
+        ring
+    }
+
+    /// Guards against a request whose body comes in chunks, as clients that write in pieces send it, being
+    /// refused: it is read whole, however it is cut, and what follows it stays for the next request.
+    #[test]
+    fn a_chunked_request_is_read_whole_however_it_comes() {
+        let text = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=1\r\nhello\r\n6\r\n world\r\n0\r\nT: 1\r\n\r\nGET";
+        for cut in 1..text.len() - 3 {
+            let mut ring = ring(&text[..cut]);
+            assert!(request(&mut ring).unwrap().is_none(), "whole after {cut} bytes");
+        }
+        let mut ring = ring(text);
+        let message = request(&mut ring).unwrap().unwrap();
+        assert_eq!((message.method.as_str(), message.body.as_slice()), ("POST", b"hello world".as_slice()));
+        assert_eq!(ring.bytes(), b"GET");
+        let long = format!("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n", BODY + 1);
+        assert_eq!(request(&mut self::tests::ring(long.as_bytes())).unwrap_err(), Bad::TooLarge);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -57,7 +57,9 @@
     pub fn listen(&mut self, address: SocketAddr, shared: bool) -> io::Result<(usize, SocketAddr)> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
-        if shared {
+        // A port that the system picks cannot be known to a successor; shared, it could be one that another
+        // listener of the same user holds already.
+        if shared && address.port() != 0 {
             socket.set_reuse_port(true)?;
         }
         socket.bind(&address.into())?;
