Hand over at SIGTERM when a successor's note is in TMPDIR: close the listener first

It took requests for 1.2 s while the kernel gave it half of the new connections. Then it refused those on open connections.

Design: front/handover.rs writes one line into $TMPDIR by a temporary file and a rename. The line holds the pid and the time the process began to listen. At SIGTERM the older process reads it. A whole note of another live pid that is newer than itself means a successor. Then it accepts what waits in the backlog and closes its listener (Net::unlisten), and it sends clients away as `evacuate` does.

Open: booking workers' call-backs for the old process's jobs can reach the new process, which books nothing.

--- /dev/null
+++ b/src/front/handover.rs
@@ -0,0 +1,120 @@
+//! What two processes of one dispatcher tell each other through `$TMPDIR` at an upgrade: the newer one leaves a
+//! note that it listens at the clients' address; the older one reads it at SIGTERM and hands over instead of
+//! draining. Written whole by a temporary file and a rename; read defensively: a note that does not read, or is
+//! of a process that is gone, is no successor.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// First word of a note, with its version.
+const MAGIC: &str = "micabeam-handover 1";
+/// Longest note that is read.
+const LONGEST: u64 = 512;
+
+/// A process's note.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// Its process id.
+    pub pid: u32,
+    /// When it began to listen, in milliseconds since the Unix epoch.
+    pub at: u64,
+}
+
+impl Note {
+    fn text(&self) -> String {
+        format!("{MAGIC} pid={} at={}\n", self.pid, self.at)
+    }
+
+    /// Reads a note's text; none where it is torn or not of this form.
+    pub fn parse(text: &str) -> Option<Note> {
+        let line = text.strip_suffix('\n').filter(|line| !line.contains('\n'))?;
+        let rest = line.strip_prefix(MAGIC)?.strip_prefix(' ')?;
+        let mut fields = rest.split(' ');
+        let pid = fields.next()?.strip_prefix("pid=")?.parse().ok()?;
+        let at = fields.next()?.strip_prefix("at=")?.parse().ok()?;
+        fields.next().is_none().then_some(Note { pid, at })
+    }
+}
+
+/// Where the note of the processes at an address lies.
+pub fn path(dir: &Path, listen: SocketAddr) -> PathBuf {
+    dir.join(format!("micabeam-{}-{}.handover", listen.ip(), listen.port()))
+}
+
+/// Leaves this process's note: whole or not at all.
+pub fn leave(path: &Path, note: Note) -> std::io::Result<()> {
+    let temporary = path.with_extension(format!("handover.{}", note.pid));
+    let mut file = std::fs::File::create(&temporary)?;
+    file.write_all(note.text().as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&temporary, path)
+}
+
+/// Whether another process that is alive left its note there after `since`. A note that does not read is named
+/// in the log, once, and counts as none.
+pub fn successor(path: &Path, own: u32, since: u64) -> bool {
+    let text = match read(path) {
+        Ok(Some(text)) => text,
+        Ok(None) => return false,
+        Err(e) => {
+            crate::say(format_args!("the hand-over note {} is ignored: {e}", path.display()));
+            return false;
+        }
+    };
+    let Some(note) = Note::parse(&text) else {
+        crate::say(format_args!("the hand-over note {} is ignored: it does not read", path.display()));
+        return false;
+    };
+    note.pid != own && note.at >= since && Path::new(&format!("/proc/{}", note.pid)).exists()
+}
+
+fn read(path: &Path) -> std::io::Result<Option<String>> {
+    use std::io::Read;
+    let file = match std::fs::File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let mut text = String::new();
+    file.take(LONGEST).read_to_string(&mut text)?;
+    Ok(Some(text))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a torn, stale or foreign note being taken for a successor.
+    #[test]
+    fn only_a_whole_note_of_another_live_process_is_a_successor() {
+        let note = Note { pid: 42, at: 1000 };
+        assert_eq!(Note::parse(&note.text()), Some(note));
+        for torn in [
+            "",
+            "micabeam-handover 1 pid=42 at=1000",
+            "micabeam-handover 1 pid=42",
+            "x pid=1 at=2\n",
+            "micabeam-handover 1 pid=42 at=1000 more=1\n",
+            "micabeam-handover 1 pid=-4 at=1000\n",
+            "micabeam-handover 1 pid=42 at=1000\nmicabeam-handover 1 pid=42 at=1000\n",
+        ] {
+            assert_eq!(Note::parse(torn), None, "{torn:?}");
+        }
+        let dir = std::env::temp_dir().join(format!("micabeam-handover-test-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let at = path(&dir, "127.0.0.1:8081".parse().unwrap());
+        let own = std::process::id();
+        assert!(!successor(&at, own, 0), "no note");
+        // This process is alive: as another's it is a successor.
+        leave(&at, Note { pid: own, at: 5000 }).unwrap();
+        assert!(successor(&at, own + 1, 4000));
+        assert!(!successor(&at, own, 4000), "its own note");
+        assert!(!successor(&at, own + 1, 6000), "older than the one that reads");
+        std::fs::write(&at, "micabeam-handover 1 pid=").unwrap();
+        assert!(!successor(&at, own + 1, 0), "torn");
+        std::fs::write(&at, format!("{MAGIC} pid={} at=5000\n", u32::MAX)).unwrap();
+        assert!(!successor(&at, own + 1, 0), "of a process that is gone");
+        std::fs::remove_dir_all(&dir).unwrap();
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 pub mod console;
 pub mod discovery;
 pub mod gearman;
+pub mod handover;
 pub mod operator;
 pub mod platform;
 pub mod stream;
@@ -149,6 +150,8 @@
     pub console: Option<Console>,
     /// Where the process is in its life.
     pub life: Lifecycle,
+    /// Where this process left its hand-over note, and when.
+    pub note: Option<(std::path::PathBuf, u64)>,
     /// The clock.
     pub clock: Clock,
     /// The files that its settings come from.
@@ -211,9 +214,12 @@
 
     /// Begins to stop: what was taken is finished, and nothing new is taken after a short while.
     pub fn stop(&mut self) {
-        self.life.on(self.clock.now(), Cause::Terminate { successor: false });
+        let own = std::process::id();
+        let successor = !self.life.stopping()
+            && self.note.as_ref().is_some_and(|(path, since)| handover::successor(path, own, *since));
+        self.life.on(self.clock.now(), Cause::Terminate { successor });
         if let Some(front) = &mut self.platform {
-            front.stop();
+            front.stop(&mut self.net, successor);
         }
         if let Some(front) = &mut self.gearman {
             front.stop();
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -148,6 +148,17 @@
         }
     }
 
+    /// Accepts all that waits, however many.
+    pub(super) fn accept_all(&mut self, net: &mut Sockets) {
+        loop {
+            let before = self.clients.conns.len();
+            self.accept(net);
+            if self.clients.conns.len() == before {
+                return;
+            }
+        }
+    }
+
     pub(super) fn client_ready(&mut self, net: &mut Sockets, id: ConnId) {
         let (mut drained, mut turns) = (0, 0);
         loop {
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -194,9 +194,18 @@
         self.evacuating || self.closes()
     }
 
-    /// Begins to stop.
-    pub fn stop(&mut self) {
-        self.stopping.get_or_insert_with(|| Leaving::begin(&mut self.core));
+    /// Begins to stop. Where a successor listens at the same address, nothing new is accepted: what waits in the
+    /// backlog is taken first, lest it be reset, and clients are sent away as by `evacuate`.
+    pub fn stop(&mut self, net: &mut Sockets, successor: bool) {
+        if self.stopping.is_some() {
+            return;
+        }
+        self.stopping = Some(Leaving::begin(&mut self.core));
+        if successor {
+            self.accept_all(net);
+            net.unlisten(self.clients.listener);
+            self.evacuate(net, true);
+        }
     }
 
     /// Whether it is past its last call.
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 use micabeam::front::gearman::{self, Gearman};
 use micabeam::front::platform::{self, Platform};
 use micabeam::front::stream::{self, Stream};
-use micabeam::front::{Configs, Files, Gateway};
+use micabeam::front::{Configs, Files, Gateway, handover};
 use micabeam::lifecycle::Lifecycle;
 use micabeam::net::Net;
 use micabeam::say;
@@ -77,7 +77,9 @@
     let platform = platform.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
     let console = console.map(|address| open_console(address, &mut net)).transpose()?;
     let life = Lifecycle::new(clock.now());
-    let mut gateway = Gateway { net, platform, gearman, stream, console, life, clock, files };
+    let note = platform.as_ref().map(|(_, local)| leave_note(*local, &clock)).unwrap_or_default();
+    let platform = platform.map(|(front, _)| front);
+    let mut gateway = Gateway { net, platform, gearman, stream, console, life, note, clock, files };
     gateway.tick();
     while !gateway.stopped() {
         let wait = (gateway.next() - gateway.clock.now()).clamp(0.0, ROUND);
@@ -94,6 +96,19 @@
     let _ = write!(std::io::stderr(), "{}", gateway.counters());
 }
 
+/// Leaves the note that tells a process at the same address that this one takes over from it.
+fn leave_note(local: SocketAddr, clock: &Clock) -> Option<(std::path::PathBuf, u64)> {
+    let path = handover::path(&std::env::temp_dir(), local);
+    let note = handover::Note { pid: std::process::id(), at: clock.now() as u64 };
+    match handover::leave(&path, note) {
+        Ok(()) => Some((path, note.at)),
+        Err(e) => {
+            say(format_args!("no hand-over note at {}: {e}", path.display()));
+            None
+        }
+    }
+}
+
 fn open_console(address: SocketAddr, net: &mut Net<Gateway>) -> Result<Console, String> {
     let (listener, local) =
         net.listen(address, false).map_err(|e| format!("cannot listen for the console at {address}: {e}"))?;
@@ -132,12 +147,12 @@
     config: platform::Config,
     net: &mut Net<Gateway>,
     clock: &Clock,
-) -> Result<Platform, String> {
+) -> Result<(Platform, SocketAddr), String> {
     let discovery = address("LB_DISCOVERY", "discovery", config.discovery)?;
     let listen = address("LB_LISTEN", "listen", config.listen)?;
     // A process that upgrades this one listens beside it at the same address until this one has gone.
     let (listener, local) =
         net.listen(listen, true).map_err(|e| format!("cannot listen at {listen}: {e}"))?;
     let _ = writeln!(std::io::stdout(), "micabeam: listening at {local}");
-    Ok(Platform::new(config, clock.clone(), listener, discovery))
+    Ok((Platform::new(config, clock.clone(), listener, discovery), local))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction};
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use rustc_hash::FxHashMap;
 use socket2::{Domain, Socket, Type};
 
@@ -42,7 +42,8 @@
 pub struct Net<H: Handler> {
     handle: LoopHandle<'static, H>,
     conns: FxHashMap<ConnId, Conn>,
-    listeners: Vec<Rc<TcpListener>>,
+    /// Listeners by number, with their place in the loop; none once closed.
+    listeners: Vec<Option<(Rc<TcpListener>, RegistrationToken)>>,
     last: ConnId,
 }
 
@@ -69,20 +70,29 @@
         let (number, local) = (self.listeners.len(), listener.local_addr()?);
         // Level-triggered: what is left in the backlog is told again.
         let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
-        self.handle
+        let token = self
+            .handle
             .insert_source(source, move |_, _, handler: &mut H| {
                 handler.waiting(number);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.to_string()))?;
-        self.listeners.push(listener);
+        self.listeners.push(Some((listener, token)));
         Ok((number, local))
     }
 
+    /// Stops listening. What waits in the backlog is reset by the system: accept it first.
+    pub fn unlisten(&mut self, listener: usize) {
+        if let Some((_, token)) = self.listeners.get_mut(listener).and_then(Option::take) {
+            self.handle.remove(token);
+        }
+    }
+
     /// Accepts one connection, if one waits.
     pub fn accept(&mut self, listener: usize) -> Option<ConnId> {
         loop {
-            match self.listeners[listener].accept() {
+            let (open, _) = self.listeners.get(listener).and_then(Option::as_ref)?;
+            match open.accept() {
                 Ok((stream, _)) => match Conn::accepted(stream).and_then(|conn| self.add(conn)) {
                     Ok(id) => return Some(id),
                     Err(e) => crate::say(format_args!("an accepted connection was dropped: {e}")),
