--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -241,9 +241,9 @@
         &self.counters
     }
 
-    /// A dispatch's request was written whole to its backend server.
-    pub fn written_whole(&mut self) {
-        self.telemetry.written();
+    /// A dispatch's request was written whole to its backend server, where its body was not relayed as it came.
+    pub fn written_whole(&mut self, session: SessionId, attempt: usize) {
+        stages::relay::whole(self, session, attempt);
     }
 
     /// The operators' counters.
--- a/src/core/session.rs
+++ b/src/core/session.rs
@@ -43,6 +43,8 @@
     pub out: bool,
     /// It is known never to have run.
     pub never_ran: bool,
+    /// Its request has been written whole to the server, and counted so.
+    pub whole: bool,
 }
 
 /// A request from the time it was taken until its one final answer.
--- a/src/core/stages/relay.rs
+++ b/src/core/stages/relay.rs
@@ -51,6 +51,7 @@
 
 /// All of a dispatch's request is with its server, which is waited for from now on.
 pub fn written(core: &mut Core, id: SessionId, attempt: usize) {
+    whole(core, id, attempt);
     let now = core.clock.now();
     let dispatch = core.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(attempt));
     if let Some(dispatch) = dispatch.filter(|d| d.out && d.began.is_none()) {
@@ -58,6 +59,15 @@
     }
 }
 
+/// A dispatch's request is with its server, all of it: counted once, however often a front tells it.
+pub fn whole(core: &mut Core, id: SessionId, attempt: usize) {
+    let dispatch = core.sessions.get_mut(&id).and_then(|s| s.dispatches.get_mut(attempt));
+    if let Some(dispatch) = dispatch.filter(|d| !d.whole) {
+        dispatch.whole = true;
+        core.telemetry.written();
+    }
+}
+
 /// The answer of a dispatch has begun, and is relayed as it comes. False if the dispatch is over.
 pub fn streaming(core: &mut Core, id: SessionId, attempt: usize) -> bool {
     let now = core.clock.now();
--- a/src/core/stages/send.rs
+++ b/src/core/stages/send.rs
@@ -8,7 +8,14 @@
     let sent = core.clock.now();
     let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
     let attempt = session.dispatches.len();
-    session.dispatches.push(Dispatch { server, sent, began: None, out: true, never_ran: false });
+    session.dispatches.push(Dispatch {
+        server,
+        sent,
+        began: None,
+        out: true,
+        never_ran: false,
+        whole: false,
+    });
     core.counters.sent += 1;
     core.commands.push_back(Command::Send { session: id, attempt, server });
 }
--- a/src/front/console/mod.rs
+++ b/src/front/console/mod.rs
@@ -123,8 +123,10 @@
         let heard = match end {
             Some(end) => Some(Heard::read(&bytes[..end])),
             None if bytes.len() >= LINE => Some(Heard::Wrong("line too long")),
-            None if conn.broken => return self.drop(net, id).and(None),
-            None if conn.eof && bytes.is_empty() => return self.drop(net, id).and(None),
+            None if conn.broken || conn.eof && bytes.is_empty() => {
+                self.drop(net, id);
+                return None;
+            }
             None if conn.eof => Some(Heard::Wrong("no line end")),
             None => None,
         };
@@ -147,8 +149,7 @@
         let Some(caller) = self.callers.get_mut(&id) else { return };
         (caller.answered, caller.due) = (true, now + LINGER);
         if !net.write(id, text.as_bytes()) {
-            self.drop(net, id);
-            return;
+            return self.drop(net, id);
         }
         if let Some(conn) = net.conn(id).filter(|conn| conn.tx.is_empty()) {
             conn.end_writing();
@@ -164,10 +165,9 @@
         }
     }
 
-    fn drop(&mut self, net: &mut Sockets, id: ConnId) -> Option<()> {
+    fn drop(&mut self, net: &mut Sockets, id: ConnId) {
         self.callers.remove(&id);
         net.close(id);
-        Some(())
     }
 }
 
--- a/src/front/gearman/workers.rs
+++ b/src/front/gearman/workers.rs
@@ -266,6 +266,7 @@
                 worker.assigned.insert(flight.0, Assigned { flight, key, abandoned: false, until });
             }
             self.put(net, id, packet);
+            self.core.written_whole(flight.0, flight.1);
             return self.core.started(flight.0, flight.1);
         }
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -207,6 +207,7 @@
         let mut cores: Vec<&Core> = Vec::new();
         cores.extend(self.platform.as_ref().map(Platform::core));
         cores.extend(self.gearman.as_ref().map(Gearman::core));
+        cores.extend(self.stream.as_ref().map(Stream::core));
         let gauges = cores.iter().fold(Gauges::default(), |sum, core| sum + core.gauges());
         let counts: Vec<_> = cores.iter().map(|core| core.telemetry()).collect();
         telemetry::render(&counts, gauges)
--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -48,8 +48,6 @@
     pub server: WorkerId,
     pub conn: Option<ConnId>,
     pub id: Rc<str>,
-    /// Its request has been written whole, and counted.
-    pub whole: bool,
 }
 
 /// All connections to backend servers.
@@ -140,7 +138,7 @@
         headers.extend(job.headers.iter().map(|(name, value)| (name.as_str(), value.clone())));
         let bytes = http::ask("POST", &job.target, &headers, Some(&job.body));
         let id = Rc::clone(&job.id);
-        self.backends.flights.insert(flight, Flight { server, conn: Some(conn), id, whole: false });
+        self.backends.flights.insert(flight, Flight { server, conn: Some(conn), id });
         net.write(conn, &bytes);
         self.backend_ready(net, conn);
     }
@@ -199,12 +197,9 @@
         let stray = !conn.rx.is_empty();
         let written = !conn.connecting && conn.tx.is_empty();
         let (server, work) = (backend.server, backend.work);
-        if let (Work::Dispatch(flight), true) = (work, written) {
-            // Counted once, when the last byte has gone to the socket: an attempt counts from there.
-            if let Some(flight) = self.backends.flights.get_mut(&flight).filter(|f| !f.whole) {
-                flight.whole = true;
-                self.core.written_whole();
-            }
+        if let (Work::Dispatch((session, attempt)), true) = (work, written) {
+            // An attempt counts once its last byte has gone to the socket.
+            self.core.written_whole(session, attempt);
         }
         match message {
             Ok(Some(message)) if !matches!(work, Work::Idle) => {
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -30,6 +30,9 @@
     body: Vec<u8>,
 }
 
+/// Time between two looks for idle connections while clients are sent away, in milliseconds.
+const AWAY_LOOK: f64 = 100.0;
+
 /// The front.
 pub struct Platform {
     core: Core,
@@ -41,6 +44,8 @@
     stopping: Option<Leaving>,
     /// Clients are sent away: `/up` says no, and connections are closed once they are idle.
     evacuating: bool,
+    /// When to look next for connections that have become idle while clients are sent away.
+    away_look: f64,
 }
 
 impl Platform {
@@ -56,6 +61,7 @@
             ids: FxHashMap::default(),
             stopping: None,
             evacuating: false,
+            away_look: f64::INFINITY,
         };
         front.core.known(known.1);
         front
@@ -156,9 +162,11 @@
         self.carry_out(net);
         let now = self.core.clock().now();
         self.sweep_clients(net, now);
-        if self.evacuating && !self.closes() {
+        if self.evacuating && !self.closes() && now >= self.away_look {
+            // New connections are left alone a while, lest a first call-back be cut off: look again for them.
             self.close_idle(net);
             self.carry_out(net);
+            self.away_look = now + AWAY_LOOK;
         }
         if self.closes() {
             self.core.stop();
@@ -177,7 +185,9 @@
             if self.core.clock().now() < end { end } else { self.core.clock().now() + 20.0 }
         });
         let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
-        wake.min(self.backends.next()).min(self.discovery.next()).min(self.clients.next()).min(last_call)
+        let away = if self.evacuating { self.away_look } else { f64::INFINITY };
+        let front = self.backends.next().min(self.discovery.next()).min(self.clients.next());
+        wake.min(front).min(last_call).min(away)
     }
 
     /// Sends clients away, or takes them again. What is open is finished, and answered with a close.
@@ -186,6 +196,7 @@
         if on {
             self.close_idle(net);
             self.carry_out(net);
+            self.away_look = self.core.clock().now() + AWAY_LOOK;
         }
     }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -252,6 +252,16 @@
     }
 }
 
+/// A scripted server's part in a job that it has read: says 202, then tells of its start and its end on a
+/// connection of its own, which is given back for more calls.
+pub fn take_and_finish(job: &mut Http, address: SocketAddr, id: &str, result: &str) -> Http {
+    job.take();
+    let mut calls = Http::connect(address);
+    calls.call_back(id, "s-1", "started", "");
+    calls.call_back(id, "s-1", "done", result);
+    calls
+}
+
 /// A header's value.
 pub fn value(head: &str, name: &str) -> Option<String> {
     head.lines().find_map(|line| {
--- /dev/null
+++ b/tests/console.rs
@@ -0,0 +1,115 @@
+//! Stories of the operators' console and of drain: the program over loopback, a call a connection.
+
+#[path = "common/net.rs"]
+mod net;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use net::*;
+
+/// The program with a console; the clients' address and the console's.
+fn start(hosts: &[(&str, SocketAddr)]) -> (Program, SocketAddr, SocketAddr) {
+    let config = config(256, nobody(), hosts).replacen('{', r#"{"console": "127.0.0.1:0", "#, 1);
+    let mut program = Program::start(Some(&config), None);
+    let (address, console) = (program.address(), program.address());
+    (program, address, console)
+}
+
+/// Sends bytes as a call and reads all of the answer, up to the console's end of it.
+fn send(console: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(console).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+fn call(console: SocketAddr, line: &str) -> String {
+    send(console, format!("{line}\n").as_bytes())
+}
+
+fn up(address: SocketAddr) -> String {
+    let mut http = Http::connect(address);
+    http.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    http.read().0.lines().next().unwrap_or_default().to_string()
+}
+
+#[test]
+fn each_call_is_answered_and_what_is_no_call_gets_nak_with_a_reason() {
+    let (_program, _, console) = start(&[]);
+    // Guards against callers that say nothing, or half a line, keeping others waiting.
+    let _silent = TcpStream::connect(console).unwrap();
+    let mut half = TcpStream::connect(console).unwrap();
+    half.write_all(b"read").unwrap();
+    let began = Instant::now();
+    assert_eq!(call(console, "readyz"), "ACK ready\n");
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    let figures = call(console, "telemetry");
+    assert!(figures.ends_with("\n--\n"), "{figures}");
+    for name in ["lb_downstream_requests_total{lane=\"avail-search\",result=\"completed\"} 0", "lb_pending 0"]
+    {
+        assert!(figures.lines().any(|line| line == name), "{name} in {figures}");
+    }
+    for (bytes, reason) in [
+        (b"exclude s-1\n".to_vec(), "NAK unknown call\n"),
+        (vec![b'x'; 300], "NAK line too long\n"),
+        (b"ready\xff\n".to_vec(), "NAK not UTF-8\n"),
+        (b"\n".to_vec(), "NAK empty call\n"),
+    ] {
+        assert_eq!(send(console, &bytes), reason, "{bytes:?}");
+    }
+    // A call that the caller ends with no line end.
+    let mut cut = TcpStream::connect(console).unwrap();
+    cut.write_all(b"readyz").unwrap();
+    cut.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    cut.read_to_string(&mut answer).unwrap();
+    assert_eq!(answer, "NAK no line end\n");
+    // The half-sent caller is ended at its deadline.
+    half.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert_eq!(half.read(&mut [0; 16]).unwrap_or(0), 0);
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
+
+#[test]
+fn evacuate_says_no_closes_idle_clients_finishes_open_jobs_and_activate_says_yes() {
+    let (worker, dial) = listener();
+    let (_program, address, console) = start(&[("s-1", dial)]);
+    assert!(up(address).starts_with("HTTP/1.1 200"));
+    let mut idle = Http::connect(address);
+    idle.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    idle.read();
+    let mut busy = Http::connect(address);
+    busy.submit("confirm-booking", "e1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    assert_eq!(call(console, "evacuate"), "ACK\n");
+    assert_eq!(call(console, "evacuate"), "ACK\n", "a second call changes nothing");
+    assert_eq!(call(console, "readyz"), "NAK evacuating\n");
+    assert!(up(address).starts_with("HTTP/1.1 503"));
+    // The idle client is closed; the busy one gets its answer, and then its connection ends.
+    assert_eq!(idle.read().0, "");
+    take_and_finish(&mut job, address, "e1", "done late");
+    let (head, body) = busy.read();
+    assert_eq!(body, "done late");
+    assert!(value(&head, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")), "{head}");
+    assert_eq!(busy.read().0, "");
+    assert_eq!(call(console, "activate"), "ACK\n");
+    assert_eq!(call(console, "readyz"), "ACK ready\n");
+    assert!(up(address).starts_with("HTTP/1.1 200"));
+    let figures = call(console, "telemetry");
+    let served = "lb_downstream_requests_total{lane=\"confirm-booking\",result=\"completed\"} 1";
+    assert!(figures.lines().any(|line| line == served), "{figures}");
+    assert!(figures.lines().any(|line| line == "lb_upstream_requests_total 1"), "{figures}");
+}
+
+#[test]
+fn a_console_address_that_does_not_read_ends_the_start_with_one_line() {
+    let config = config(256, nobody(), &[]).replacen('{', r#"{"console": "here", "#, 1);
+    let (ended_well, log) = Program::start(Some(&config), None).wait();
+    assert!(!ended_well);
+    assert_eq!(log.trim(), "micabeam: `console` is no address: here", "{log}");
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -156,3 +156,35 @@
     assert!(!core.streaming(id, 0), "it is over");
     assert_eq!((core.open(), core.counters().sent), (0, 1));
 }
+
+#[test]
+fn a_scripted_day_is_counted_once_where_each_thing_happens() {
+    use micabeam::telemetry::Disposition::*;
+    // Guards the operators' figures: each answer counted once by its lane and how it ended, attempts once when
+    // written whole however often a front tells it, and what is pending and avoided read as it is.
+    let (mut core, clock) = core(2, &["a", "b"]);
+    let served = core.request(request(0, 4000.0)).unwrap();
+    let failed = core.request(request(1, 4000.0)).unwrap();
+    // A third is one too many: denied before the module sees it.
+    assert!(core.request(request(1, 4000.0)).is_err());
+    let sent = commands(&mut core);
+    assert_eq!(sent.len(), 2, "{sent:?}");
+    assert_eq!(core.gauges().pending, 2);
+    for _ in 0..3 {
+        core.written_whole(served, 0);
+    }
+    core.written_whole(failed, 0);
+    assert_eq!(core.telemetry().upstream(), 2);
+    core.ended(served, 0, Outcome::Served, Report::default(), b"ok".to_vec());
+    // An error on a job that may not run twice fails it.
+    core.ended(failed, 0, Outcome::Error, Report::default(), Vec::new());
+    clock.set(clock.now() + 1.0);
+    core.tick();
+    let answered = answers(&commands(&mut core));
+    assert_eq!(answered.len(), 2, "{answered:?}");
+    let counts = |lane| [Completed, Rejected, Failed].map(|d| core.telemetry().downstream(lane, d));
+    assert_eq!((counts(0), counts(1)), ([1, 0, 0], [0, 1, 1]));
+    let gauges = core.gauges();
+    assert_eq!((gauges.pending, gauges.members), (0, 2));
+    assert!(gauges.members_unavailable <= 1, "only the server that failed may be avoided: {gauges:?}");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -555,10 +555,7 @@
     }
     let mut job = Http::accept(&worker);
     assert_eq!(value(&job.read().0, "req-id").as_deref(), Some("p1"));
-    job.take();
-    let mut calls = Http::connect(address);
-    calls.call_back("p1", "s-1", "started", "");
-    calls.call_back("p1", "s-1", "done", "slow ok");
+    let mut calls = take_and_finish(&mut job, address, "p1", "slow ok");
     let (head, body) = slow.read();
     assert_eq!(body, "slow ok", "{head}");
     // Guards against refusing a body in chunks with 501: it goes on with its payload and a length.
@@ -587,10 +584,7 @@
     std::thread::sleep(std::time::Duration::from_millis(600));
     let mut job = Http::accept(&worker);
     assert_eq!(value(&job.read().0, "req-id").as_deref(), Some("q1"));
-    job.take();
-    let mut calls = Http::connect(address);
-    calls.call_back("q1", "s-1", "started", "");
-    calls.call_back("q1", "s-1", "done", "late ok");
+    take_and_finish(&mut job, address, "q1", "late ok");
     let (head, body) = client.read();
     assert_eq!(body, "late ok", "{head}");
     assert_eq!(counter(address, "never_ran"), 0);
