Neither probe nor call off where workers report nothing of their load

Safe jobs that had not started by their aim were called off and sent on, though a cancel frees nothing: 1.85 to 2.4 attempts a request. Change: the settings say whether any report shows a queue (Settings::reports) and whether a cancel is believed to free a place (Limits::cancel_frees, with reports or in Gearman's front, whose waiting jobs are its own). Ruled out: that the wire tells what a cancel frees; a probe saw no start told after 66 calls off.

--- a/src/api.rs
+++ b/src/api.rs
@@ -39,6 +39,8 @@
     pub rules: Rules,
     /// True where workers tell when a job starts.
     pub tells_start: bool,
+    /// True where workers report their load. Without, a probe tells nothing that a job would not.
+    pub reports: bool,
 }
 
 impl Settings {
@@ -106,6 +108,8 @@
     pub attempts: usize,
     /// Attempts may be called off.
     pub cancel: bool,
+    /// Calling an attempt off that waits is believed to free its place.
+    pub cancel_frees: bool,
     /// Workers may be probed.
     pub probe: bool,
 }
--- a/src/front/stream/config.rs
+++ b/src/front/stream/config.rs
@@ -422,7 +422,7 @@
             live_sizes: false,
             must_subscribe: self.discovery.is_some(),
             // A probe is answered by the front itself, out of its own count of streams.
-            limits: Limits { attempts: self.attempts, cancel: true, probe: true },
+            limits: Limits { attempts: self.attempts, cancel: true, cancel_frees: true, probe: true },
             zones_cost: false,
             rules: Rules {
                 cold_from: self.cold.from,
@@ -432,6 +432,7 @@
             },
             // Nor does a server tell when it starts: its answer does.
             tells_start: false,
+            reports: true,
         };
         let mut site = Site::plain(settings, self.class.iter().map(grade).collect());
         site.conn_idle = self.server_idle_s * 1e3;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -383,7 +383,11 @@
             let fresh = if many { HEARD } else { self.settings.quantum };
             // A safe job that meets a bad worker goes on, and tells of it: only others look first.
             let looks = !many || self.settings.classes[class].repeat != Repeat::Safe;
-            if self.settings.limits.probe && looks && now > self.workers[i].read + fresh {
+            if self.settings.limits.probe
+                && self.settings.reports
+                && looks
+                && now > self.workers[i].read + fresh
+            {
                 self.workers[i].asked = Some(id);
                 out.push(Action::Probe { worker: self.workers[i].member.worker });
                 break;
@@ -537,7 +541,8 @@
         p.waits = false;
         self.held.remove(&(p.came, id));
         let class = &self.settings.classes[p.job.class];
-        if self.settings.tells_start && self.settings.limits.cancel && class.repeat == Repeat::Safe {
+        let frees = self.settings.limits.cancel && self.settings.limits.cancel_frees;
+        if self.settings.tells_start && frees && class.repeat == Repeat::Safe {
             let patience =
                 if self.settings.many() && p.attempts.len() < QUICK { class.aim / 10 } else { class.aim };
             self.wakes.push(Reverse((now + patience, Wake::Unheard(id, p.attempts.len()))));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -84,6 +84,19 @@
         if classes.is_empty() {
             return Err("settings: missing field `grades`, a list that is not empty".into());
         }
+        let x0 = text(info, "reportX0").unwrap_or("");
+        let fields = texts(report, "fields").into_iter().map(|name| {
+            let says = match if name == "x0" { x0 } else { name.as_str() } {
+                "free slots" => Field::FreeSlots,
+                "inflight" => Field::Held,
+                "queue" => Field::Queue,
+                _ => Field::Other,
+            };
+            (name, says)
+        });
+        let fields: Vec<(String, Field)> = fields.collect();
+        // Whether a queue can be seen is all that a report is read for.
+        let reports = text(report, "how") != Some("off") && fields.iter().any(|f| f.1 != Field::Other);
         let micros = |value: &JsonValue, name| number(value, name).unwrap_or(0.0).max(0.0) as Micros;
         let settings = Settings {
             number: need(facts, "myNumber")? as u32,
@@ -96,6 +109,7 @@
             limits: Limits {
                 attempts: need(caps, "sendCap")? as usize,
                 cancel: flag(caps, "mayCancel"),
+                cancel_frees: reports,
                 probe: flag(caps, "probing"),
             },
             zones_cost: number(fees, "crossZone").is_some_and(|fee| fee > 0.0),
@@ -106,17 +120,8 @@
                 ask_within: micros(rules, "askWithin"),
             },
             tells_start: flag(info, "tellsStart"),
+            reports,
         };
-        let x0 = text(info, "reportX0").unwrap_or("");
-        let fields = texts(report, "fields").into_iter().map(|name| {
-            let says = match if name == "x0" { x0 } else { name.as_str() } {
-                "free slots" => Field::FreeSlots,
-                "inflight" => Field::Held,
-                "queue" => Field::Queue,
-                _ => Field::Other,
-            };
-            (name, says)
-        });
         Ok(Site {
             settings,
             grades,
@@ -129,7 +134,7 @@
             conn_idle: number(caps, "connIdle").unwrap_or(15e6) / 1e3,
             connect_timeout: number(caps, "connectTimeout").unwrap_or(250e3) / 1e3,
             max_retry_after: number(caps, "maxRetryAfter").unwrap_or(0.0) / 1e3,
-            fields: fields.collect(),
+            fields,
         })
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,10 +26,11 @@
         ],
         live_sizes: false,
         must_subscribe: false,
-        limits: Limits { attempts: 4, cancel: true, probe: false },
+        limits: Limits { attempts: 4, cancel: true, cancel_frees: true, probe: false },
         zones_cost: false,
         rules: Rules { cold_from: 0.1, cold: 20 * SECOND, fall_multiple: 2.5, ask_within: 10 * SECOND },
         tells_start: false,
+        reports: true,
     }
 }
 
