Rank workers by own work out there where they report nothing; read hints of cost

Change: own starts and ends tell each worker's pace, its kind's slots and the wait that others make; past k is the own work out there; a job that would be late everywhere is held here, and refused when no machine could do it in time any more.

--- a/src/api.rs
+++ b/src/api.rs
@@ -15,7 +15,7 @@
 pub struct JobId(pub u64);
 
 /// What the operator states when a dispatcher starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Number of this dispatcher, from 0.
     pub number: u32,
@@ -54,6 +54,11 @@
         self.dispatchers > Settings::MANY
     }
 
+    /// Whether own starts and ends are the only evidence of what workers hold.
+    pub fn blind(&self) -> bool {
+        self.tells_start && !self.reports
+    }
+
     /// The time in which each dispatcher calls discovery once: by their number, and well within `ask_within`, after
     /// which a dispatcher counts as told of what it has not asked for.
     pub fn call_span(&self) -> Micros {
@@ -66,6 +71,10 @@
 pub struct Class {
     /// How long a job may wait for its worker and still be in time.
     pub aim: Micros,
+    /// The aim grows by this multiple of the job's own work.
+    pub stretch: f64,
+    /// Worth of its jobs; only comparisons count.
+    pub gain: f64,
     /// Part of its worth that a late answer still has; 0: none.
     pub late_worth: f64,
     /// Whether it may run twice.
@@ -102,7 +111,7 @@
 }
 
 /// What a dispatcher may do.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Limits {
     /// Attempts for one job.
     pub attempts: usize,
@@ -115,7 +124,7 @@
 }
 
 /// Figures of the rules that a dispatcher keeps.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Rules {
     /// Part of its capacity that a worker has when it starts.
     pub cold_from: f64,
@@ -169,6 +178,8 @@
     pub due: Micros,
     /// Slots that it takes.
     pub slots: f64,
+    /// Work that the client expects it to be, as time on a core of speed 1; none: not told.
+    pub work: Option<Micros>,
 }
 
 /// A worker's own figures; what is not reported is `None`.
--- a/src/bin/micabeam-adapter/main.rs
+++ b/src/bin/micabeam-adapter/main.rs
@@ -189,9 +189,10 @@
 
 fn job(r: &mut Reader) -> Result<Job, String> {
     let (id, class) = (JobId(r.u64()?), r.u16()?.into());
-    let (_tenant, _key, due, _hint) = (r.u32()?, r.u64()?, r.u64()?, r.u32()?);
-    let (slots, _memory, _bits) = (r.f32()?, r.f32()?, r.u8()?);
-    Ok(Job { id, class, due, slots })
+    let (_tenant, _key, due, hint) = (r.u32()?, r.u64()?, r.u64()?, r.u32()?);
+    let (slots, _memory, bits) = (r.f32()?, r.f32()?, r.u8()?);
+    let work = (bits & 1 != 0 && hint > 0).then_some(hint.into());
+    Ok(Job { id, class, due, slots, work })
 }
 
 fn outcome(code: u16) -> Outcome {
--- a/src/core/session.rs
+++ b/src/core/session.rs
@@ -14,6 +14,8 @@
     pub due: f64,
     /// Slots that it takes.
     pub slots: f64,
+    /// Work that the client expects it to be, in milliseconds on a core of speed 1; none: not told.
+    pub work: Option<f64>,
 }
 
 /// A final answer.
--- a/src/core/stages/route.rs
+++ b/src/core/stages/route.rs
@@ -7,7 +7,8 @@
 /// Hands a new session to the module.
 pub fn arrive(core: &mut Core, id: SessionId, request: Request) {
     core.sessions.insert(id, Session { request, dispatches: Vec::new(), over: false, streaming: false });
-    let job = Job { id: JobId(id), class: request.class, due: micros(request.due), slots: request.slots };
+    let (due, work) = (micros(request.due), request.work.map(micros));
+    let job = Job { id: JobId(id), class: request.class, due, slots: request.slots, work };
     drive(core, Event::Job(job));
 }
 
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -337,6 +337,7 @@
             return self.reply(net, id, 400, &[], b"Req-Id or Req-Deadline does not read\n", close);
         };
         let slots = message.header("req-extra").and_then(slots).unwrap_or(1.0);
+        let work = message.header("req-cost").and_then(work);
         let req_id: Rc<str> = req_id.into();
         let passed = |name: &str| {
             let name = name.to_ascii_lowercase();
@@ -344,7 +345,7 @@
             !own && (name.starts_with("req-") || PASSED.contains(&name.as_str()))
         };
         let due = now + wait.min(PATIENCE);
-        match self.core.request(Request { class, due, slots }) {
+        match self.core.request(Request { class, due, slots, work }) {
             Err(verdict) => self.say(net, id, verdict, close),
             Ok(session) => {
                 let headers = message.headers.into_iter().filter(|(name, _)| passed(name)).collect();
@@ -428,6 +429,13 @@
     (1..=128).contains(&id.len()) && id.bytes().all(fits)
 }
 
+/// The work that a client expects, in milliseconds, from its figure in microseconds. What is no such figure, or
+/// beyond what a client can wait for, is no hint.
+fn work(cost: &str) -> Option<f64> {
+    let micros: f64 = cost.trim().parse().ok()?;
+    Some(micros / 1e3).filter(|work| *work > 0.0 && *work <= PATIENCE)
+}
+
 /// The slots among a request's further figures.
 fn slots(extra: &str) -> Option<f64> {
     let value = |pair: &str| {
@@ -450,5 +458,9 @@
         }
         assert_eq!(slots("memory=2,slots=4"), Some(4.0));
         assert_eq!(slots("slots=nan"), None);
+        assert_eq!(work("480000"), Some(480.0));
+        for odd in ["", "0", "-3", "nan", "inf", "1e300", "480ms", "99999999999999"] {
+            assert_eq!(work(odd), None, "{odd} is no hint");
+        }
     }
 }
--- a/src/front/stream/config.rs
+++ b/src/front/stream/config.rs
@@ -408,6 +408,8 @@
     fn site(&self) -> Site {
         let class = |c: &ClassTable| Class {
             aim: micros(c.wait_s * 1e3),
+            stretch: 0.0,
+            gain: 1.0,
             late_worth: 0.0,
             repeat: if c.repeat == RepeatTable::Safe { Repeat::Safe } else { Repeat::Unsafe },
             kind: None,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,10 +38,20 @@
 const HEARD: Micros = 1_000_000;
 /// Attempts of a safe job that are called off at once where they do not start.
 const QUICK: usize = 3;
+/// Wait from which a job is late at a worker that takes no reports, and is held here instead; a wait that is none;
+/// workers looked at where that costs nothing; slots of a worker at most; least part of a run that is left.
+const LATE_THERE: f64 = 1e12;
+const FREE: f64 = 0.1;
+const BLIND_STEPS: usize = 16;
+const MOST_SLOTS: usize = 16;
+const OVERRUN: f64 = 0.2;
+/// News of a start may come before those of an end that went before it, by this.
+const CROSSING: Micros = 20_000;
 /// What a worker that turned a job away counts as holding until its next report.
 const FULL: f64 = 1000.0;
 
 /// One dispatcher.
+#[derive(Default)]
 pub struct Dispatcher {
     settings: Settings,
     rng: fastrand::Rng,
@@ -56,6 +66,11 @@
     prompt: Vec<f64>,
     /// Running mean of how long a job runs: of attempts that met a free slot.
     run: f64,
+    /// Running mean of the work of a job, by class, where clients do not tell.
+    usual: Vec<f64>,
+    /// How long a unit of work takes anywhere, and running mean of the wait beyond that for own attempts.
+    pace: Pace,
+    lag: f64,
     /// Running mean of how far workers are past k.
     typical: f64,
     /// Running mean of jobs held, to size.
@@ -78,21 +93,12 @@
         let cycles = kinds.into_iter().map(|kind| Cycle { kind, ..Cycle::default() }).collect();
         Dispatcher {
             run: settings.classes.iter().map(|c| c.aim).max().unwrap_or(0).max(1) as f64,
-            settings,
+            usual: settings.classes.iter().map(|c| c.aim.max(1) as f64).collect(),
             rng: fastrand::Rng::with_seed(seed),
-            workers: Vec::new(),
-            index: FxHashMap::default(),
-            cycles,
-            jobs: FxHashMap::default(),
-            wakes: BinaryHeap::new(),
             armed: Micros::MAX,
-            prompt: Vec::new(),
-            typical: 0.0,
-            pressure: 0.0,
-            kinds: Vec::new(),
-            held: BTreeSet::new(),
-            call_failures: 0,
-            doubt: 0,
+            settings,
+            cycles,
+            ..Dispatcher::default()
         }
     }
 
@@ -128,7 +134,7 @@
                 self.read(now, ended.worker, &ended.report);
                 self.ended(now, &ended, out);
             }
-            Event::Started { job, attempt } => self.started(job, attempt),
+            Event::Started { job, attempt } => self.started(now, job, attempt),
             Event::Streaming(id) => {
                 self.jobs.entry(id).and_modify(|p| p.streaming = true);
             }
@@ -158,8 +164,8 @@
     /// Guards against calls of many dispatchers that come sooner than discovery works through them: they are
     /// spread by how many there are, and a failed one waits half of its span at least.
     fn call(&mut self, now: Micros, within: Micros) {
-        let span = if self.many() { within.max(self.settings.call_span()) } else { within.max(1) };
-        let least = if self.many() && self.call_failures > 0 { span / 2 } else { 0 };
+        let span = if self.settings.many() { within.max(self.settings.call_span()) } else { within.max(1) };
+        let least = if self.settings.many() && self.call_failures > 0 { span / 2 } else { 0 };
         let at = now + self.rng.u64(least..=span);
         self.wakes.push(Reverse((at, Wake::Subscribe)));
     }
@@ -237,17 +243,11 @@
         }
     }
 
-    /// Whether dispatchers are so many that a report is out of date by what others sent since. Guards against
-    /// all of them running after the same slots: free when the report was made, and not any more.
-    fn many(&self) -> bool {
-        self.settings.many()
-    }
-
     /// Lays out every period anew: a worker with n turns has them evenly spaced, and workers start at points
     /// spread by the golden section so that neighbours in the order do not bunch.
     fn rebuild(&mut self) {
         let (number, zone) = (self.settings.number, self.settings.zone);
-        let many = self.many();
+        let many = self.settings.many();
         for cycle in &mut self.cycles {
             let fits = |w: &Worker| w.ready && cycle.kind.is_none_or(|kind| kind == w.member.kind);
             cycle.order = (0..self.workers.len()).filter(|&i| fits(&self.workers[i])).collect();
@@ -307,11 +307,15 @@
         let cycle = self.cycles.iter().position(|c| c.kind == class.kind).unwrap_or(0);
         let due = job.due.saturating_sub(self.settings.quantum);
         self.wakes.push(Reverse((due, Wake::Due(job.id))));
-        if class.late_worth < LATE {
-            self.wakes.push(Reverse((now + class.aim, Wake::Stale(job.id))));
-        }
+        let late_worth = class.late_worth;
         let next = self.turn(now, cycle);
         let pending = Pending { job, came: now, cycle, next, waits: true, ..Pending::default() };
+        if late_worth < LATE {
+            let quickest = self.cycles[cycle].order.iter().map(|&i| self.pace(i)).fold(f64::MAX, f64::min);
+            let least = (now + self.settings.classes[job.class].aim) as f64;
+            let latest = (self.aim(&pending) - self.work(&job) * quickest).max(least);
+            self.wakes.push(Reverse((latest as Micros, Wake::Stale(job.id))));
+        }
         self.jobs.insert(job.id, pending);
         self.step(now, job.id, out);
     }
@@ -339,34 +343,36 @@
     /// probed each is asked at its turn; no answer in good time sends the job on as well.
     fn step(&mut self, now: Micros, id: JobId, out: &mut Vec<Action>) {
         let Some(p) = self.jobs.get(&id).filter(|p| p.waits) else { return };
-        let (cycle, slots, came, class) = (p.cycle, p.job.slots, p.came, p.job.class);
+        let (cycle, came, class) = (p.cycle, p.came, p.job.class);
         let (mut next, mut steps, mut best) = (p.next, p.steps, p.best);
         let (length, part) = (self.cycles[cycle].order.len(), self.cycles[cycle].part);
         // Past this a job is held here: it would wait there until it is late.
-        let bound = (came + self.settings.classes[p.job.class].aim).saturating_sub(now) as f64;
+        let blind = self.settings.blind();
+        let aim = (came + self.settings.classes[p.job.class].aim).saturating_sub(now) as f64;
+        let (bound, most) = if blind { (LATE_THERE, BLIND_STEPS) } else { (aim, STEPS) };
         let slowest = self.prompt.iter().fold(0.0, |a: f64, &b| a.max(b));
         let mut wait = self.settings.quantum * 2 + slowest as Micros * 2;
-        let (mut left, many) = (length, self.many());
+        let (mut left, many) = (length, self.settings.many());
         if many {
             steps = steps.max(p.attempts.len());
         }
         loop {
-            if steps >= STEPS || left == 0 {
+            if steps >= most || left == 0 {
                 // Read anew, lest jobs that met it together all settle there.
                 if let Some((_, i)) = best
-                    && (many || self.past(i, slots) <= bound)
+                    && (many && !blind || self.past(now, i, &self.jobs[&id]) <= bound)
                     && self.may_send(now, id, i)
                 {
                     return self.send(now, id, i, out);
                 }
-                (steps, best, wait) = (0, None, self.run as Micros);
+                (steps, best, wait) = (0, None, if blind { self.run / 4.0 } else { self.run } as Micros);
                 self.held.insert((came, id));
                 break;
             }
             left -= 1;
             // Half of the steps look beyond the part, lest one whose workers are all full or lost hold its
             // jobs.
-            let at = if part == length || steps < STEPS / 2 && left >= length - part {
+            let at = if part == length || steps < most / 2 && left >= length - part {
                 next += 1;
                 (next - 1) % part
             } else {
@@ -392,7 +398,7 @@
                 out.push(Action::Probe { worker: self.workers[i].member.worker });
                 break;
             }
-            let past = self.past(i, slots);
+            let past = self.past(now, i, &self.jobs[&id]);
             if past <= self.typical.min(0.0) {
                 return self.send(now, id, i, out);
             }
@@ -407,7 +413,7 @@
     /// than any report, and keeps all dispatchers from running after the one slot that an old report shows.
     fn replace(&mut self, now: Micros, i: usize, out: &mut Vec<Action>) {
         let Some((_, id)) = self.held.pop_last() else { return };
-        if self.may_send(now, id, i) {
+        if !self.settings.blind() && self.may_send(now, id, i) {
             self.send(now, id, i, out);
         } else {
             self.step(now, id, out);
@@ -415,8 +421,18 @@
     }
 
     /// How far a worker's queue is past k, as a wait: 0 or less if a job that takes `slots` can start.
-    fn past(&self, i: usize, slots: f64) -> f64 {
-        let (w, r) = (&self.workers[i], &self.workers[i].report);
+    fn past(&self, now: Micros, i: usize, p: &Pending) -> f64 {
+        let (w, r, slots) = (&self.workers[i], &self.workers[i].report, p.job.slots);
+        if self.settings.blind() {
+            let (own, lag) = (self.own_wait(now, i), self.lag(now, i));
+            let (held, wait) = (own.1, own.0 + lag);
+            let late = now as f64 + wait + self.work(&p.job) * self.pace(i) - self.aim(p);
+            return match late > 0.0 {
+                true if wait > self.run * FREE => LATE_THERE + late,
+                true => late,
+                false => held + (lag - self.lag).max(0.0),
+            };
+        }
         let usual = (self.pressure * w.member.size).max(1.0);
         let slots_seen = self.kinds[usize::from(w.member.kind)].slots;
         let places = if slots_seen > 0.0 { slots_seen } else { usual };
@@ -433,12 +449,11 @@
             (None, Some(queue), _) => drift + queue,
             // Slots are a guess here: past k is also what holds more than the mean for its size.
             (None, None, Some(held)) => drift + held - usual.min(places),
-            // No reports: own attempts that wait there, else those past the paper's k of 2.
-            (None, None, None) if self.settings.tells_start => w.waiting - 1.0,
+            // No reports: own attempts past the paper's k of 2.
             (None, None, None) => w.waiting - 3.0,
         };
         // What others sent since outweighs a report of a second ago: only what waits here is sure.
-        let queue = if self.many() { w.waiting - slots.max(1.0) } else { queue };
+        let queue = if self.settings.many() { w.waiting - slots.max(1.0) } else { queue };
         // Guards against a report that is too old to show what is out there: own attempts take their slots
         // whatever it says.
         let queue = if slots_seen > 0.0 { queue.max(w.own - slots_seen) } else { queue };
@@ -447,6 +462,49 @@
         if w.slowness > SLOW { past.max(self.run / places) * w.slowness } else { past }
     }
 
+    /// The work that a job is, as far as can be told.
+    fn work(&self, job: &Job) -> f64 {
+        job.work.map_or(self.usual[job.class], |work| work as f64)
+    }
+
+    /// By when a job is wanted. Guards against hints in another unit: no machine is so unlike speed 1.
+    fn aim(&self, p: &Pending) -> f64 {
+        let class = &self.settings.classes[p.job.class];
+        let pace = self.pace.beside(1.0, self.run);
+        let stretch = class.stretch * pace / pace.clamp(0.4, 2.5);
+        (p.came + class.aim) as f64 + stretch * self.work(&p.job)
+    }
+
+    /// Time that a worker takes for a unit of work: as its kind does until its own runs say otherwise.
+    fn pace(&self, i: usize) -> f64 {
+        let w = &self.workers[i];
+        let kind = &self.kinds[usize::from(w.member.kind)];
+        w.pace.beside(kind.pace.beside(self.pace.beside(1.0, self.run), self.run * 2.0), self.run * 3.0)
+    }
+
+    /// How long own attempts at a worker keep a job waiting that is sent now: they take its slots in order.
+    fn own_wait(&self, now: Micros, i: usize) -> (f64, f64) {
+        let (w, pace) = (&self.workers[i], self.pace(i));
+        let mut free = [0.0_f64; MOST_SLOTS];
+        let slots = (self.kinds[usize::from(w.member.kind)].slots as usize).clamp(1, MOST_SLOTS);
+        let first = |free: &[f64]| (0..slots).min_by(|&a, &b| free[a].total_cmp(&free[b])).unwrap_or(0);
+        for o in &w.out {
+            let ran = o.since.map_or(0, |since| now - since) as f64;
+            free[first(&free)] += (o.work * pace - ran).max(o.work * pace * OVERRUN);
+        }
+        (free[first(&free)], free.iter().sum::<f64>() / slots as f64)
+    }
+
+    /// How long others' jobs at a worker keep one waiting: as last seen there, which fades to what is usual, or
+    /// as an own attempt that has not started shows.
+    fn lag(&self, now: Micros, i: usize) -> f64 {
+        let w = &self.workers[i];
+        let fresh = (-((now - w.lag_at) as f64) / self.run).exp();
+        let waits = w.out.iter().find(|o| o.since.is_none());
+        let silent = waits.map_or(0.0, |o| (now - o.sent) as f64 - o.expected);
+        (self.lag + (w.lag - self.lag) * fresh).max(silent)
+    }
+
     /// Takes in a worker's report.
     fn read(&mut self, now: Micros, id: WorkerId, report: &Report) {
         let Some(&i) = self.index.get(&id).filter(|_| *report != Report::default()) else { return };
@@ -482,11 +540,9 @@
         } else {
             self.failed(now, i);
         }
-        let Some((id, slots)) = asked.and_then(|id| self.jobs.get(&id).map(|p| (id, p.job.slots))) else {
-            return;
-        };
+        let Some((id, p)) = asked.and_then(|id| Some((id, self.jobs.get(&id)?))) else { return };
         if answered {
-            let past = self.past(i, slots);
+            let past = self.past(now, i, p);
             self.typical += GAIN * (past - self.typical);
             let p = self.jobs.get_mut(&id).expect("just seen");
             p.best = better(p.best, past, i);
@@ -504,7 +560,7 @@
         let rest = self.run * f64::from(1u32 << w.failures.min(4)) * (0.5 + self.rng.f64());
         w.rest = now + rest as Micros;
         // Guards against a watch that has fallen silent: a worker that fails may have left the list.
-        if self.settings.must_subscribe && self.doubt <= now && !self.many() {
+        if self.settings.must_subscribe && self.doubt <= now && !self.settings.many() {
             self.doubt = now + self.settings.rules.ask_within / 2;
             self.call(now, self.settings.rules.ask_within / 20);
         }
@@ -536,7 +592,8 @@
     }
 
     fn send(&mut self, now: Micros, id: JobId, i: usize, out: &mut Vec<Action>) {
-        let free = self.past(i, self.jobs[&id].job.slots) <= 0.0;
+        let free = self.past(now, i, &self.jobs[&id]) <= 0.0;
+        let (expected, work) = (self.own_wait(now, i).0, self.work(&self.jobs[&id].job));
         let p = self.jobs.get_mut(&id).expect("it waits");
         p.waits = false;
         self.held.remove(&(p.came, id));
@@ -557,6 +614,8 @@
             left: false,
         });
         let w = &mut self.workers[i];
+        let attempt = p.attempts.len() - 1;
+        w.out.push(Out { job: id, attempt, sent: now, since: None, work, expected });
         w.waiting += 1.0;
         w.drift += p.job.slots.max(1.0);
         w.own += p.job.slots.max(1.0);
@@ -569,7 +628,7 @@
         match e.outcome {
             Outcome::Served => self.workers[i].failures = 0,
             // Guards against sending on and on to a worker whose report, still old, shows room.
-            Outcome::Full if self.many() => self.workers[i].rest = now + self.run as Micros,
+            Outcome::Full if self.settings.many() || self.settings.blind() => self.workers[i].rest = now + self.run as Micros,
             Outcome::Full => self.workers[i].drift += FULL,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => self.failed(now, i),
             _ => {}
@@ -581,7 +640,16 @@
                 self.run += GAIN * (e.latency as f64 - self.run);
             }
             a.never_ran = e.outcome.never_ran();
-            Self::give_back(&mut self.workers, a, p.job.slots);
+            let w = &mut self.workers[i];
+            if let Some(o) = w.out.iter().find(|o| (o.job, o.attempt) == (e.job, e.attempt))
+                && let Some(since) = o.since.filter(|_| e.outcome == Outcome::Served)
+            {
+                let (run, work) = ((now - since) as f64, o.work);
+                let paces = [&mut w.pace, &mut self.kinds[usize::from(w.member.kind)].pace, &mut self.pace];
+                paces.into_iter().for_each(|pace| pace.add(run, work));
+                self.usual[p.job.class] += GAIN * (run - self.usual[p.job.class]);
+            }
+            Self::give_back(&mut self.workers, a, e.job, e.attempt, p.job.slots);
             if e.finished {
                 self.end(e.job, out);
             } else if !p.waits && !p.attempts.iter().any(|a| a.out) {
@@ -613,29 +681,38 @@
         let others = self.cycles[p.cycle].order.len() > 1;
         let spent = p.attempts.len() >= self.settings.limits.attempts || !others;
         let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.out && !a.started && !spent) else { return };
-        Self::give_back(&mut self.workers, a, p.job.slots);
+        Self::give_back(&mut self.workers, a, id, attempt, p.job.slots);
         (a.left, p.waits, p.steps, p.best) = (true, true, 0, None);
         out.push(Action::Cancel { job: id, attempt });
         self.step(now, id, out);
     }
 
     /// An attempt is over, or nobody waits for it any more.
-    fn give_back(workers: &mut [Worker], a: &mut Attempt, slots: f64) {
+    fn give_back(workers: &mut [Worker], a: &mut Attempt, id: JobId, attempt: usize, slots: f64) {
         if a.out {
             a.out = false;
+            workers[a.worker].out.retain(|o| (o.job, o.attempt) != (id, attempt));
             workers[a.worker].waiting -= f64::from(u8::from(!a.started));
             workers[a.worker].drift -= slots.max(1.0);
             workers[a.worker].own -= slots.max(1.0);
         }
     }
 
-    fn started(&mut self, id: JobId, attempt: usize) {
-        if let Some(a) = self.jobs.get_mut(&id).and_then(|p| p.attempts.get_mut(attempt))
-            && a.out
-            && !a.started
-        {
-            a.started = true;
-            self.workers[a.worker].waiting -= 1.0;
+    fn started(&mut self, now: Micros, id: JobId, attempt: usize) {
+        let Some(p) = self.jobs.get_mut(&id) else { return };
+        let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.out && !a.started) else { return };
+        a.started = true;
+        let w = &mut self.workers[a.worker];
+        w.waiting -= 1.0;
+        let Some(o) = w.out.iter_mut().find(|o| (o.job, o.attempt) == (id, attempt)) else { return };
+        o.since = Some(now);
+        (w.lag, w.lag_at) = (((now - o.sent) as f64 - o.expected).max(0.0), now);
+        self.lag += GAIN * (w.lag - self.lag);
+        // News may cross: what has run beside others for a while has a slot of its own.
+        let runs = w.out.iter().filter(|o| o.since.is_some_and(|since| now > since + CROSSING)).count();
+        let kind = &mut self.kinds[usize::from(w.member.kind)];
+        if self.settings.blind() {
+            kind.slots = kind.slots.max(runs as f64 + 1.0);
         }
     }
 
@@ -656,7 +733,7 @@
         let Some(mut p) = self.jobs.remove(&id) else { return };
         self.held.remove(&(p.came, id));
         for (attempt, a) in p.attempts.iter_mut().enumerate().filter(|(_, a)| a.out) {
-            Self::give_back(&mut self.workers, a, p.job.slots);
+            Self::give_back(&mut self.workers, a, id, attempt, p.job.slots);
             if self.settings.limits.cancel {
                 out.push(Action::Cancel { job: id, attempt });
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -71,13 +71,14 @@
         let part = |name| field(facts, name).unwrap_or(&none);
         let (info, rules) = (part("familyInfo"), part("rules"));
         let (caps, fees, report) = (part("caps"), part("fees"), part("report"));
-        let kinds = json::list(info, "classKind");
+        let (kinds, stretches) = (json::list(info, "classKind"), json::list(info, "classStretch"));
         let lines = json::list(facts, "grades");
         let mut classes = Vec::new();
         let mut grades = Vec::new();
         for (at, line) in lines.iter().enumerate() {
             let kind = kinds.get(at).and_then(|k| k.get::<f64>()).filter(|&&k| (0.0..65535.0).contains(&k));
-            classes.push(class(at, line, kind.map(|&k| k as u16))?);
+            let stretch = stretches.get(at).and_then(|s| s.get::<f64>()).copied();
+            classes.push(class(at, line, kind.map(|&k| k as u16), stretch)?);
             let name = text(line, "name").unwrap_or("").to_string();
             grades.push(Grade { name, hard_limit: number(line, "hardLimit").unwrap_or(5e6) / 1e3 });
         }
@@ -172,7 +173,7 @@
     number(value, name).ok_or_else(|| format!("settings: missing field `{name}`, a number"))
 }
 
-fn class(at: usize, grade: &JsonValue, kind: Option<u16>) -> Result<Class, String> {
+fn class(at: usize, grade: &JsonValue, kind: Option<u16>, stretch: Option<f64>) -> Result<Class, String> {
     let repeat = match text(grade, "semantics").unwrap_or("") {
         "retryable" => Repeat::Safe,
         "fragile" => Repeat::Unsafe,
@@ -188,5 +189,8 @@
         other => return Err(format!("settings: grade {at}: unknown semantics \"{other}\"")),
     };
     let late_worth = number(grade, "lateWorth").unwrap_or(0.0);
-    Ok(Class { aim: need(grade, "aim")? as Micros, late_worth, repeat, kind })
+    let aim = need(grade, "aim")? as Micros;
+    let stretch = number(grade, "aimStretch").or(stretch).unwrap_or(0.0).clamp(0.0, 100.0);
+    let gain = number(grade, "gain").unwrap_or(1.0).max(0.0);
+    Ok(Class { aim, stretch, gain, late_worth, repeat, kind })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,16 +22,59 @@
     pub own: f64,
     /// How long its last probe took, as a multiple of the usual.
     pub slowness: f64,
+    /// Own attempts out there, in the order they were sent.
+    pub out: Vec<Out>,
+    pub pace: Pace,
+    /// Wait beyond that for own attempts, as it was last seen, and when.
+    pub lag: f64,
+    pub lag_at: Micros,
     /// Failures since the last success, and until when they cost it its turns.
     pub failures: u32,
     pub rest: Micros,
 }
 
+/// An own attempt that is out at a worker, as far as it has been heard of.
+pub struct Out {
+    pub job: JobId,
+    pub attempt: usize,
+    pub sent: Micros,
+    /// Since when it runs.
+    pub since: Option<Micros>,
+    /// Work that it was expected to be.
+    pub work: f64,
+    /// Wait for own attempts that it was sent to.
+    pub expected: f64,
+}
+
+/// How long runs took, against the work that they were expected to be.
+#[derive(Clone, Copy, Default)]
+pub struct Pace {
+    run: f64,
+    work: f64,
+}
+
+impl Pace {
+    /// What of older runs still counts at each new one: some twenty are remembered, so that a machine that has
+    /// slowed down shows.
+    const FADES: f64 = 0.95;
+
+    /// Takes in one run.
+    pub fn add(&mut self, run: f64, work: f64) {
+        (self.run, self.work) = (self.run * Pace::FADES + run, self.work * Pace::FADES + work);
+    }
+
+    /// Time that a unit of work takes, where so much work at the usual pace counts as seen beside it.
+    pub fn beside(&self, usual: f64, work: f64) -> f64 {
+        (self.run + usual * work) / (self.work + work).max(f64::MIN_POSITIVE)
+    }
+}
+
 /// What is known of the workers of one kind.
 #[derive(Default)]
 pub struct Kind {
-    /// Slots of each, as far as reports have shown.
+    /// Slots of each, as far as reports have shown, or own jobs that ran at once.
     pub slots: f64,
+    pub pace: Pace,
     /// Nominal size, and sums of what workers held, in all and a core, where sizes are live.
     pub nominal: f64,
     pub held: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,7 @@
 pub const SECOND: Micros = 1_000_000;
 
 pub fn class(repeat: Repeat) -> Class {
-    Class { aim: 250 * MS, late_worth: 0.0, repeat, kind: None }
+    Class { aim: 250 * MS, stretch: 0.0, gain: 1.0, late_worth: 0.0, repeat, kind: None }
 }
 
 /// One class of each way to repeat: 0 safe, 1 keyed within a cell, 2 unsafe.
@@ -74,7 +74,7 @@
     pub fn job(&mut self, class: usize) -> (JobId, Vec<Action>) {
         self.jobs += 1;
         let id = JobId(self.jobs);
-        let job = Job { id, class, due: self.now + 5 * SECOND, slots: 1.0 };
+        let job = Job { id, class, due: self.now + 5 * SECOND, slots: 1.0, work: None };
         (id, self.handle(Event::Job(job)))
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -32,7 +32,7 @@
 }
 
 fn job(id: u64, class: usize, now: Micros) -> Event<'static> {
-    Event::Job(Job { id: JobId(id), class, due: now + 5 * SECOND, slots: 1.0 })
+    Event::Job(Job { id: JobId(id), class, due: now + 5 * SECOND, slots: 1.0, work: None })
 }
 
 /// A report is a second old by the time it is read, and all dispatchers read the same one. Guards against a hundred
