--- a/src/api.rs
+++ b/src/api.rs
@@ -54,6 +54,11 @@
         self.dispatchers > Settings::MANY
     }
 
+    /// Whether what a worker reports, if anything, says little of what it holds now.
+    pub fn stale_reports(&self) -> bool {
+        self.many() || self.blind()
+    }
+
     /// Whether own starts and ends are the only evidence of what workers hold.
     pub fn blind(&self) -> bool {
         self.tells_start && !self.reports
--- a/src/front/gearman/config.rs
+++ b/src/front/gearman/config.rs
@@ -83,7 +83,7 @@
         let settings = &mut site.settings;
         (settings.number, settings.dispatchers, settings.zone) = (0, 1, 0);
         (settings.live_sizes, settings.must_subscribe, settings.zones_cost) = (false, false, false);
-        (settings.limits.probe, settings.reports, settings.tells_start) = (false, false, true);
+        (settings.limits.probe, settings.reports, settings.tells_start) = (false, true, true);
         // What has not started waits in this program, not at a worker.
         (settings.limits.cancel, settings.limits.cancel_frees) = (true, true);
         (settings.classes, site.grades) = (classes, grades);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,11 +42,8 @@
 /// workers looked at where that costs nothing; slots of a worker at most; least part of a run that is left.
 const LATE_THERE: f64 = 1e12;
 const FREE: f64 = 0.1;
-const BLIND_STEPS: usize = 16;
-const MOST_SLOTS: usize = 16;
+const MOST: usize = 16;
 const OVERRUN: f64 = 0.2;
-/// News of a start may come before those of an end that went before it, by this.
-const CROSSING: Micros = 20_000;
 /// What a worker that turned a job away counts as holding until its next report.
 const FULL: f64 = 1000.0;
 
@@ -71,6 +68,7 @@
     /// How long a unit of work takes anywhere, and running mean of the wait beyond that for own attempts.
     pace: Pace,
     lag: f64,
+    seen: Micros,
     /// Running mean of how far workers are past k.
     typical: f64,
     /// Running mean of jobs held, to size.
@@ -86,10 +84,7 @@
 impl Dispatcher {
     /// A dispatcher that knows no workers yet. All its randomness comes from `seed`.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let mut kinds: Vec<Option<u16>> = settings.classes.iter().map(|c| c.kind).collect();
-        kinds.push(None);
-        kinds.sort_unstable();
-        kinds.dedup();
+        let kinds: BTreeSet<_> = settings.classes.iter().map(|c| c.kind).chain([None]).collect();
         let cycles = kinds.into_iter().map(|kind| Cycle { kind, ..Cycle::default() }).collect();
         Dispatcher {
             run: settings.classes.iter().map(|c| c.aim).max().unwrap_or(0).max(1) as f64,
@@ -150,9 +145,7 @@
             self.wakes.pop();
             self.wake(now, wake, out);
         }
-        if self.armed <= now {
-            self.armed = Micros::MAX;
-        }
+        self.armed = if self.armed <= now { Micros::MAX } else { self.armed };
         if let Some(&Reverse((at, _))) = self.wakes.peek()
             && at < self.armed
         {
@@ -166,8 +159,7 @@
     fn call(&mut self, now: Micros, within: Micros) {
         let span = if self.settings.many() { within.max(self.settings.call_span()) } else { within.max(1) };
         let least = if self.settings.many() && self.call_failures > 0 { span / 2 } else { 0 };
-        let at = now + self.rng.u64(least..=span);
-        self.wakes.push(Reverse((at, Wake::Subscribe)));
+        self.wakes.push(Reverse((now + self.rng.u64(least..=span), Wake::Subscribe)));
     }
 
     fn wake(&mut self, now: Micros, wake: Wake, out: &mut Vec<Action>) {
@@ -189,11 +181,8 @@
         let mut changed = false;
         if whole {
             let named: BTreeSet<WorkerId> = members.iter().map(|m| m.worker).collect();
-            for w in &mut self.workers {
-                if w.ready && !named.contains(&w.member.worker) {
-                    w.ready = false;
-                    changed = true;
-                }
+            for w in self.workers.iter_mut().filter(|w| w.ready && !named.contains(&w.member.worker)) {
+                (w.ready, changed) = (false, true);
             }
         }
         for m in members {
@@ -210,16 +199,7 @@
             let (w, k) = (&mut self.workers[at], &mut self.kinds[kind]);
             let mut size = if m.size > 0.0 { m.size.min(1e6) } else { 1.0 };
             if self.settings.live_sizes {
-                k.nominal = k.nominal.max(size);
-                // A live size is the nominal one over 1 + requests held a core: the highest seen is nominal,
-                // and beside a report of what the worker holds it tells its cores.
-                let held = w.report.held.filter(|_| w.report.free_slots.is_none()).unwrap_or(0.0);
-                if held >= 1.0 {
-                    k.held += held;
-                    k.held_a_core += k.nominal / size - 1.0;
-                    k.slots = if k.held_a_core > 1.0 { (k.held / k.held_a_core).max(1.0) } else { 0.0 };
-                }
-                size = k.nominal;
+                size = k.live(size, w.report.held.filter(|_| w.report.free_slots.is_none()));
             }
             if m.born != w.member.born {
                 (w.failures, w.rest, w.budget) = (0, 0, self.rng.f64());
@@ -228,8 +208,8 @@
             // A listed size that wavers does not rebuild the cycle.
             let resized = (size - w.member.size).abs() > size / TURNS;
             changed |= resized || w.ready != ready;
-            w.member = Member { size: if resized { size } else { w.member.size }, ..*m };
-            w.ready = ready;
+            let size = if resized { size } else { w.member.size };
+            (w.member, w.ready) = (Member { size, ..*m }, ready);
         }
         if changed {
             let bare: Vec<bool> = self.cycles.iter().map(|c| c.order.is_empty()).collect();
@@ -293,28 +273,21 @@
         w.ready && w.rest <= now && (w.budget >= 1.0 || self.warmth(now, w) == 1.0)
     }
 
-    /// A turn of a warming worker is worth its warmth: it gets its part of what there is to do, however
-    /// unlike dispatchers are. `CREDITS` turns a job at most, lest a fleet that is all cold be pushed over.
-    fn credit(&mut self, now: Micros, i: usize) {
-        let warmth = self.warmth(now, &self.workers[i]);
-        let w = &mut self.workers[i];
-        w.budget = (w.budget + warmth).min(1.5);
-    }
-
     fn arrive(&mut self, now: Micros, mut job: Job, out: &mut Vec<Action>) {
         job.class = job.class.min(self.settings.classes.len().saturating_sub(1));
         let class = &self.settings.classes[job.class];
         let cycle = self.cycles.iter().position(|c| c.kind == class.kind).unwrap_or(0);
         let due = job.due.saturating_sub(self.settings.quantum);
         self.wakes.push(Reverse((due, Wake::Due(job.id))));
-        let late_worth = class.late_worth;
+        let (late_worth, least) = (class.late_worth, (now + class.aim) as f64);
         let next = self.turn(now, cycle);
-        let pending = Pending { job, came: now, cycle, next, waits: true, ..Pending::default() };
+        let mut pending = Pending { job, came: now, cycle, next, waits: true, ..Pending::default() };
+        // By then no machine does it in time any more.
+        let quickest = self.cycles[cycle].order.iter().map(|&i| self.pace(i)).fold(f64::MAX, f64::min);
+        let latest = (self.aim(&pending) - self.work(&job) * quickest).max(least) as Micros;
+        pending.key = if self.settings.blind() { latest } else { now };
         if late_worth < LATE {
-            let quickest = self.cycles[cycle].order.iter().map(|&i| self.pace(i)).fold(f64::MAX, f64::min);
-            let least = (now + self.settings.classes[job.class].aim) as f64;
-            let latest = (self.aim(&pending) - self.work(&job) * quickest).max(least);
-            self.wakes.push(Reverse((latest as Micros, Wake::Stale(job.id))));
+            self.wakes.push(Reverse((latest, Wake::Stale(job.id))));
         }
         self.jobs.insert(job.id, pending);
         self.step(now, job.id, out);
@@ -329,8 +302,11 @@
             c.count += 1;
             let rank = c.period[(c.count + offset) % length];
             let worker = c.order[rank];
+            // A turn of a warming worker is worth its warmth: it gets its part of what there is to do, however
+            // unlike dispatchers are. `CREDITS` turns a job, lest a fleet that is all cold be pushed over.
             if passed < CREDITS {
-                self.credit(now, worker);
+                let warmth = self.warmth(now, &self.workers[worker]);
+                self.workers[worker].budget = (self.workers[worker].budget + warmth).min(1.5);
             }
             if self.open(now, worker) {
                 return rank;
@@ -343,13 +319,16 @@
     /// probed each is asked at its turn; no answer in good time sends the job on as well.
     fn step(&mut self, now: Micros, id: JobId, out: &mut Vec<Action>) {
         let Some(p) = self.jobs.get(&id).filter(|p| p.waits) else { return };
-        let (cycle, came, class) = (p.cycle, p.came, p.job.class);
+        let (cycle, came, key) = (p.cycle, p.came, p.key);
         let (mut next, mut steps, mut best) = (p.next, p.steps, p.best);
         let (length, part) = (self.cycles[cycle].order.len(), self.cycles[cycle].part);
         // Past this a job is held here: it would wait there until it is late.
-        let blind = self.settings.blind();
-        let aim = (came + self.settings.classes[p.job.class].aim).saturating_sub(now) as f64;
-        let (bound, most) = if blind { (LATE_THERE, BLIND_STEPS) } else { (aim, STEPS) };
+        let (blind, of) = (self.settings.blind(), &self.settings.classes[p.job.class]);
+        let aim = (came + of.aim).saturating_sub(now) as f64;
+        let (bound, most) = if blind { (LATE_THERE, MOST) } else { (aim, STEPS) };
+        // A safe job that meets a bad worker of many goes on, and tells of it: only others look first.
+        let looks = !self.settings.many() || of.repeat != Repeat::Safe;
+        let looks = looks && self.settings.limits.probe && self.settings.reports;
         let slowest = self.prompt.iter().fold(0.0, |a: f64, &b| a.max(b));
         let mut wait = self.settings.quantum * 2 + slowest as Micros * 2;
         let (mut left, many) = (length, self.settings.many());
@@ -366,7 +345,7 @@
                     return self.send(now, id, i, out);
                 }
                 (steps, best, wait) = (0, None, if blind { self.run / 4.0 } else { self.run } as Micros);
-                self.held.insert((came, id));
+                self.held.insert((key, id));
                 break;
             }
             left -= 1;
@@ -387,13 +366,7 @@
             }
             steps += 1;
             let fresh = if many { HEARD } else { self.settings.quantum };
-            // A safe job that meets a bad worker goes on, and tells of it: only others look first.
-            let looks = !many || self.settings.classes[class].repeat != Repeat::Safe;
-            if self.settings.limits.probe
-                && self.settings.reports
-                && looks
-                && now > self.workers[i].read + fresh
-            {
+            if looks && now > self.workers[i].read + fresh {
                 self.workers[i].asked = Some(id);
                 out.push(Action::Probe { worker: self.workers[i].member.worker });
                 break;
@@ -402,7 +375,7 @@
             if past <= self.typical.min(0.0) {
                 return self.send(now, id, i, out);
             }
-            best = better(best, past, i);
+            best = best.filter(|&(least, _)| least <= past).or(Some((past, i)));
         }
         let p = self.jobs.get_mut(&id).expect("it waits");
         (p.next, p.steps, p.best, p.walk) = (next, steps, best, p.walk + 1);
@@ -411,9 +384,12 @@
 
     /// Gives the place of an attempt that has ended to the newest job held here: that it is free is surer
     /// than any report, and keeps all dispatchers from running after the one slot that an old report shows.
+    /// Without reports the one that must start first looks again: others' jobs may wait there.
     fn replace(&mut self, now: Micros, i: usize, out: &mut Vec<Action>) {
-        let Some((_, id)) = self.held.pop_last() else { return };
-        if !self.settings.blind() && self.may_send(now, id, i) {
+        let blind = self.settings.blind();
+        let next = if blind { self.held.pop_first() } else { self.held.pop_last() };
+        let Some((_, id)) = next else { return };
+        if !blind && self.may_send(now, id, i) {
             self.send(now, id, i, out);
         } else {
             self.step(now, id, out);
@@ -424,13 +400,13 @@
     fn past(&self, now: Micros, i: usize, p: &Pending) -> f64 {
         let (w, r, slots) = (&self.workers[i], &self.workers[i].report, p.job.slots);
         if self.settings.blind() {
-            let (own, lag) = (self.own_wait(now, i), self.lag(now, i));
-            let (held, wait) = (own.1, own.0 + lag);
-            let late = now as f64 + wait + self.work(&p.job) * self.pace(i) - self.aim(p);
-            return match late > 0.0 {
-                true if wait > self.run * FREE => LATE_THERE + late,
-                true => late,
-                false => held + (lag - self.lag).max(0.0),
+            let ((own, held), lag) = (self.own_wait(now, i), self.lag(now, i));
+            // Guards against short jobs behind long ones: what would wait for own jobs waits here instead.
+            let ends = now as f64 + own + lag + self.work(&p.job) * self.pace(i);
+            return match (ends - self.aim(p)).max(own) {
+                late if late > 0.0 && own + lag > self.run * FREE => LATE_THERE + late,
+                late if late > 0.0 => late,
+                _ => held + (lag - self.lag.max(self.run * FREE / 2.0)).max(0.0),
             };
         }
         let usual = (self.pressure * w.member.size).max(1.0);
@@ -485,8 +461,8 @@
     /// How long own attempts at a worker keep a job waiting that is sent now: they take its slots in order.
     fn own_wait(&self, now: Micros, i: usize) -> (f64, f64) {
         let (w, pace) = (&self.workers[i], self.pace(i));
-        let mut free = [0.0_f64; MOST_SLOTS];
-        let slots = (self.kinds[usize::from(w.member.kind)].slots as usize).clamp(1, MOST_SLOTS);
+        let mut free = [0.0_f64; MOST];
+        let slots = (self.kinds[usize::from(w.member.kind)].slots as usize).clamp(1, MOST);
         let first = |free: &[f64]| (0..slots).min_by(|&a, &b| free[a].total_cmp(&free[b])).unwrap_or(0);
         for o in &w.out {
             let ran = o.since.map_or(0, |since| now - since) as f64;
@@ -496,13 +472,14 @@
     }
 
     /// How long others' jobs at a worker keep one waiting: as last seen there, which fades to what is usual, or
-    /// as an own attempt that has not started shows.
+    /// as an own attempt that has not started shows. What is usual fades while no start is told: guards against
+    /// refusing all for a wait that is over.
     fn lag(&self, now: Micros, i: usize) -> f64 {
-        let w = &self.workers[i];
-        let fresh = (-((now - w.lag_at) as f64) / self.run).exp();
+        let (w, faded) = (&self.workers[i], |at: Micros| (-((now - at) as f64) / self.run).exp());
         let waits = w.out.iter().find(|o| o.since.is_none());
         let silent = waits.map_or(0.0, |o| (now - o.sent) as f64 - o.expected);
-        (self.lag + (w.lag - self.lag) * fresh).max(silent)
+        let usual = self.lag * faded(self.seen);
+        (usual + (w.lag - usual) * faded(w.lag_at)).max(silent)
     }
 
     /// Takes in a worker's report.
@@ -531,12 +508,7 @@
             }
             // One that warms up is as slow as it is cold, and gets its part by that already.
             let latency = latency as f64 * self.warmth(now, &self.workers[i]);
-            let usual = &mut self.prompt[zone];
-            *usual = match *usual {
-                0.0 => latency,
-                median => median * if latency > median { 1.0 + GAIN } else { 1.0 - GAIN },
-            };
-            self.workers[i].slowness = latency / usual.max(1.0);
+            self.workers[i].slowness = latency / median(&mut self.prompt[zone], latency, GAIN).max(1.0);
         } else {
             self.failed(now, i);
         }
@@ -545,7 +517,7 @@
             let past = self.past(now, i, p);
             self.typical += GAIN * (past - self.typical);
             let p = self.jobs.get_mut(&id).expect("just seen");
-            p.best = better(p.best, past, i);
+            p.best = p.best.filter(|&(least, _)| least <= past).or(Some((past, i)));
             if p.waits && past <= self.typical.min(0.0) && self.may_send(now, id, i) {
                 return self.send(now, id, i, out);
             }
@@ -596,7 +568,7 @@
         let (expected, work) = (self.own_wait(now, i).0, self.work(&self.jobs[&id].job));
         let p = self.jobs.get_mut(&id).expect("it waits");
         p.waits = false;
-        self.held.remove(&(p.came, id));
+        self.held.remove(&(p.key, id));
         let class = &self.settings.classes[p.job.class];
         let frees = self.settings.limits.cancel && self.settings.limits.cancel_frees;
         if self.settings.tells_start && frees && class.repeat == Repeat::Safe {
@@ -604,17 +576,8 @@
                 if self.settings.many() && p.attempts.len() < QUICK { class.aim / 10 } else { class.aim };
             self.wakes.push(Reverse((now + patience, Wake::Unheard(id, p.attempts.len()))));
         }
-        p.attempts.push(Attempt {
-            worker: i,
-            sent: now,
-            out: true,
-            free,
-            started: false,
-            never_ran: false,
-            left: false,
-        });
-        let w = &mut self.workers[i];
-        let attempt = p.attempts.len() - 1;
+        let (w, attempt) = (&mut self.workers[i], p.attempts.len());
+        p.attempts.push(Attempt { worker: i, sent: now, out: true, free, ..Attempt::default() });
         w.out.push(Out { job: id, attempt, sent: now, since: None, work, expected });
         w.waiting += 1.0;
         w.drift += p.job.slots.max(1.0);
@@ -628,7 +591,7 @@
         match e.outcome {
             Outcome::Served => self.workers[i].failures = 0,
             // Guards against sending on and on to a worker whose report, still old, shows room.
-            Outcome::Full if self.settings.many() || self.settings.blind() => self.workers[i].rest = now + self.run as Micros,
+            Outcome::Full if self.settings.stale_reports() => self.workers[i].rest = now + self.run as Micros,
             Outcome::Full => self.workers[i].drift += FULL,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => self.failed(now, i),
             _ => {}
@@ -641,25 +604,22 @@
             }
             a.never_ran = e.outcome.never_ran();
             let w = &mut self.workers[i];
-            if let Some(o) = w.out.iter().find(|o| (o.job, o.attempt) == (e.job, e.attempt))
-                && let Some(since) = o.since.filter(|_| e.outcome == Outcome::Served)
-            {
-                let (run, work) = ((now - since) as f64, o.work);
+            if let Some((run, work)) = w.ran(now, e.job, e.attempt).filter(|_| e.outcome == Outcome::Served) {
                 let paces = [&mut w.pace, &mut self.kinds[usize::from(w.member.kind)].pace, &mut self.pace];
                 paces.into_iter().for_each(|pace| pace.add(run, work));
                 self.usual[p.job.class] += GAIN * (run - self.usual[p.job.class]);
             }
-            Self::give_back(&mut self.workers, a, e.job, e.attempt, p.job.slots);
+            w.give_back(a, e.job, e.attempt, p.job.slots);
             if e.finished {
                 self.end(e.job, out);
             } else if !p.waits && !p.attempts.iter().any(|a| a.out) {
-                let is_unsafe = self.settings.classes[p.job.class].repeat == Repeat::Unsafe;
                 // Guards against one bad job that is sent to worker after worker.
                 if e.outcome == Outcome::Unfit {
                     out.push(Action::Fail { job: e.job });
                     return self.end(e.job, out);
                 }
-                let unsafe_now = is_unsafe && p.may_have_run().is_some();
+                let repeat = self.settings.classes[p.job.class].repeat;
+                let unsafe_now = repeat == Repeat::Unsafe && p.may_have_run().is_some();
                 let spent = p.attempts.len() >= self.settings.limits.attempts;
                 if unsafe_now || spent || now + self.settings.quantum >= p.job.due {
                     self.give_up(e.job, out);
@@ -681,39 +641,22 @@
         let others = self.cycles[p.cycle].order.len() > 1;
         let spent = p.attempts.len() >= self.settings.limits.attempts || !others;
         let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.out && !a.started && !spent) else { return };
-        Self::give_back(&mut self.workers, a, id, attempt, p.job.slots);
+        self.workers[a.worker].give_back(a, id, attempt, p.job.slots);
         (a.left, p.waits, p.steps, p.best) = (true, true, 0, None);
         out.push(Action::Cancel { job: id, attempt });
         self.step(now, id, out);
     }
 
-    /// An attempt is over, or nobody waits for it any more.
-    fn give_back(workers: &mut [Worker], a: &mut Attempt, id: JobId, attempt: usize, slots: f64) {
-        if a.out {
-            a.out = false;
-            workers[a.worker].out.retain(|o| (o.job, o.attempt) != (id, attempt));
-            workers[a.worker].waiting -= f64::from(u8::from(!a.started));
-            workers[a.worker].drift -= slots.max(1.0);
-            workers[a.worker].own -= slots.max(1.0);
-        }
-    }
-
     fn started(&mut self, now: Micros, id: JobId, attempt: usize) {
         let Some(p) = self.jobs.get_mut(&id) else { return };
         let Some(a) = p.attempts.get_mut(attempt).filter(|a| a.out && !a.started) else { return };
         a.started = true;
         let w = &mut self.workers[a.worker];
         w.waiting -= 1.0;
-        let Some(o) = w.out.iter_mut().find(|o| (o.job, o.attempt) == (id, attempt)) else { return };
-        o.since = Some(now);
-        (w.lag, w.lag_at) = (((now - o.sent) as f64 - o.expected).max(0.0), now);
-        self.lag += GAIN * (w.lag - self.lag);
-        // News may cross: what has run beside others for a while has a slot of its own.
-        let runs = w.out.iter().filter(|o| o.since.is_some_and(|since| now > since + CROSSING)).count();
+        let runs = w.start(now, id, attempt);
+        (self.lag, self.seen) = (self.lag + GAIN * (w.lag - self.lag), now);
         let kind = &mut self.kinds[usize::from(w.member.kind)];
-        if self.settings.blind() {
-            kind.slots = kind.slots.max(runs as f64 + 1.0);
-        }
+        kind.slots = if self.settings.blind() { kind.slots.max(runs) } else { kind.slots };
     }
 
     /// Ends a job unserved: by a refusal where that is allowed, else by a failure.
@@ -731,17 +674,12 @@
     /// Forgets a job that is over and calls off what is still out for it.
     fn end(&mut self, id: JobId, out: &mut Vec<Action>) {
         let Some(mut p) = self.jobs.remove(&id) else { return };
-        self.held.remove(&(p.came, id));
+        self.held.remove(&(p.key, id));
         for (attempt, a) in p.attempts.iter_mut().enumerate().filter(|(_, a)| a.out) {
-            Self::give_back(&mut self.workers, a, id, attempt, p.job.slots);
+            self.workers[a.worker].give_back(a, id, attempt, p.job.slots);
             if self.settings.limits.cancel {
                 out.push(Action::Cancel { job: id, attempt });
             }
         }
     }
 }
-
-/// The better of the best worker met so far and one just met, by how far their queues are past k.
-fn better(best: Option<(f64, usize)>, past: f64, i: usize) -> Option<(f64, usize)> {
-    best.filter(|&(least, _)| least <= past).or(Some((past, i)))
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,47 @@
     pub rest: Micros,
 }
 
+impl Worker {
+    /// An attempt is over, or nobody waits for it any more.
+    pub fn give_back(&mut self, a: &mut Attempt, job: JobId, attempt: usize, slots: f64) {
+        if a.out {
+            a.out = false;
+            self.out.retain(|o| (o.job, o.attempt) != (job, attempt));
+            self.waiting -= f64::from(u8::from(!a.started));
+            self.drift -= slots.max(1.0);
+            self.own -= slots.max(1.0);
+        }
+    }
+
+    /// An attempt has started: notes how much longer it waited than for own attempts, and returns how many run
+    /// side by side. News of a start may come before those of the end that made room for it, so that only what
+    /// has run beside others for a while counts.
+    pub fn start(&mut self, now: Micros, job: JobId, attempt: usize) -> f64 {
+        const CROSSING: Micros = 20_000;
+        if let Some(o) = self.out.iter_mut().find(|o| (o.job, o.attempt) == (job, attempt)) {
+            o.since = Some(now);
+            (self.lag, self.lag_at) = (((now - o.sent) as f64 - o.expected).max(0.0), now);
+        }
+        let beside = self.out.iter().filter(|o| o.since.is_some_and(|since| now > since + CROSSING));
+        beside.count() as f64 + 1.0
+    }
+
+    /// How long an attempt has run, if it has started, and the work that it was expected to be.
+    pub fn ran(&self, now: Micros, job: JobId, attempt: usize) -> Option<(f64, f64)> {
+        let o = self.out.iter().find(|o| (o.job, o.attempt) == (job, attempt))?;
+        Some(((now - o.since?) as f64, o.work))
+    }
+}
+
+/// Moves a running median by one sample, and returns it.
+pub fn median(median: &mut f64, sample: f64, gain: f64) -> f64 {
+    *median = match *median {
+        0.0 => sample,
+        usual => usual * if sample > usual { 1.0 + gain } else { 1.0 - gain },
+    };
+    *median
+}
+
 /// An own attempt that is out at a worker, as far as it has been heard of.
 pub struct Out {
     pub job: JobId,
@@ -81,6 +122,20 @@
     pub held_a_core: f64,
 }
 
+impl Kind {
+    /// Takes in a live size: the nominal one over 1 + requests held a core. The highest seen is nominal, and beside
+    /// a report of what the worker holds it tells its cores. Returns the nominal size.
+    pub fn live(&mut self, size: f64, held: Option<f64>) -> f64 {
+        self.nominal = self.nominal.max(size);
+        if let Some(held) = held.filter(|&held| held >= 1.0) {
+            self.held += held;
+            self.held_a_core += self.nominal / size - 1.0;
+            self.slots = if self.held_a_core > 1.0 { (self.held / self.held_a_core).max(1.0) } else { 0.0 };
+        }
+        self.nominal
+    }
+}
+
 /// The workers that one kind of job may use: the period, and the fixed order in which a job steps on.
 #[derive(Default)]
 pub struct Cycle {
@@ -94,6 +149,7 @@
     pub beyond: usize,
 }
 
+#[derive(Default)]
 pub struct Attempt {
     pub worker: usize,
     pub sent: Micros,
@@ -110,6 +166,8 @@
 pub struct Pending {
     pub job: Job,
     pub came: Micros,
+    /// Its place among jobs held.
+    pub key: Micros,
     pub cycle: usize,
     pub attempts: Vec<Attempt>,
     /// It waits for a worker: on a walk, or held.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use micabeam::Dispatcher;
 use micabeam::api::*;
+use std::collections::BTreeMap;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
@@ -50,11 +51,17 @@
     pub dispatcher: Dispatcher,
     pub now: Micros,
     jobs: u64,
+    sends: BTreeMap<JobId, usize>,
 }
 
 impl World {
     pub fn new(settings: Settings, members: &[Member]) -> World {
-        let mut world = World { dispatcher: Dispatcher::new(settings, 1), now: 100 * SECOND, jobs: 0 };
+        let mut world = World {
+            dispatcher: Dispatcher::new(settings, 1),
+            now: 100 * SECOND,
+            jobs: 0,
+            sends: BTreeMap::new(),
+        };
         world.handle(Event::List(members));
         world
     }
@@ -65,6 +72,13 @@
         actions
     }
 
+    /// The number of the next attempt of a job that was sent, counted by the calls of this.
+    pub fn attempts(&mut self, job: JobId) -> usize {
+        let sends = self.sends.entry(job).or_default();
+        *sends += 1;
+        *sends - 1
+    }
+
     /// Lets time pass and answers what it brings.
     pub fn wait(&mut self, span: Micros) -> Vec<Action> {
         self.now += span;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -347,7 +347,11 @@
                 next += 1;
                 let due = now + rng.u64(200..4000) * MS;
                 jobs.insert(id, Watched { class, due, attempts: Vec::new(), over: false });
-                dispatcher.handle(now, Event::Job(Job { id, class, due, slots: 1.0, work: None }), &mut actions);
+                dispatcher.handle(
+                    now,
+                    Event::Job(Job { id, class, due, slots: 1.0, work: None }),
+                    &mut actions,
+                );
             }
             3..7 if !out.is_empty() => {
                 let (job, attempt) = out[rng.usize(0..out.len())];
