--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,8 +38,8 @@
 const HEARD: Micros = 1_000_000;
 /// Attempts of a safe job that are called off at once where they do not start.
 const QUICK: usize = 3;
-/// Where workers report nothing: wait from which a job is late there and held here instead; part of a run that
-/// is no wait; workers looked at, and slots of each, at most; least part of a run that is taken to be left.
+/// Where workers report nothing: wait from which a job is late there and held here instead; part of a run
+/// that is no wait; workers looked at, and slots of each, at most; least part of a run taken to be left.
 const LATE_THERE: f64 = 1e12;
 const FREE: f64 = 0.1;
 const MOST: usize = 16;
@@ -302,8 +302,8 @@
             c.count += 1;
             let rank = c.period[(c.count + offset) % length];
             let worker = c.order[rank];
-            // A turn of a warming worker is worth its warmth: it gets its part of what there is to do, however
-            // unlike dispatchers are. `CREDITS` turns a job, lest a fleet that is all cold be pushed over.
+            // A turn of a warming worker is worth its warmth: it gets its part of what there is to do,
+            // however unlike dispatchers are. `CREDITS` a job, lest a fleet that is all cold be pushed over.
             if passed < CREDITS {
                 let warmth = self.warmth(now, &self.workers[worker]);
                 self.workers[worker].budget = (self.workers[worker].budget + warmth).min(1.5);
@@ -471,9 +471,9 @@
         (free[first(&free)], free.iter().sum::<f64>() / slots as f64)
     }
 
-    /// How long others' jobs at a worker keep one waiting: as last seen there, which fades to what is usual, or
-    /// as an own attempt that has not started shows. What is usual fades while no start is told: guards against
-    /// refusing all for a wait that is over.
+    /// How long others' jobs at a worker keep one waiting: as last seen there, which fades to what is usual,
+    /// or as an own attempt that has not started shows. What is usual fades while no start is told: guards
+    /// against refusing all for a wait that is over.
     fn lag(&self, now: Micros, i: usize) -> f64 {
         let (w, faded) = (&self.workers[i], |at: Micros| (-((now - at) as f64) / self.run).exp());
         let waits = w.out.iter().find(|o| o.since.is_none());
