Pass call-backs on between the processes of an upgrade; the rig's upgrade experiment

Cause: the kernel deals call-backs out over both processes, and once the old one stops listening all reach the new one, which acknowledged and forgot those of jobs that it did not know: they timed out at their owner. Change: a link over the shared address, opened by the new process before it says that it is ready, over which a call-back goes to its owner; 204 only once that one has taken it, 503 where it cannot be asked. The rig plays upgrades under load with eight faults by seed. Not taken: a listener of its own or a Unix socket (the platform gives one address), ids that tell their process (they pass on unchanged).

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod stores;
 pub mod streams;
+pub mod upgrade;
 
 use thiserror::Error;
 
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use micabeam_rig::streams::{Plan, ladder};
-use micabeam_rig::{RigError, dispatch, stores, streams};
+use micabeam_rig::{RigError, dispatch, stores, streams, upgrade};
 
 /// Experiments with the real program among stand-in peers, on loopback. The last line of each is figures, as
 /// key=value; it ends non-zero where its proof fails.
@@ -57,6 +57,18 @@
         #[arg(long, default_value_t = 400)]
         pipes: usize,
     },
+    /// Upgrades by pairs of processes under load, with faults at the seam
+    Upgrade {
+        /// Upgrades, one after the other
+        #[arg(long, default_value_t = 100)]
+        rounds: usize,
+        /// Jobs a second
+        #[arg(long, default_value_t = 100)]
+        rate: u64,
+        /// Decides faults and jobs
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// The ledger's load on embedded engines and on a plain log
     Stores {
         /// Jobs, of three records each
@@ -109,6 +121,14 @@
             }
             Ok(figures.line())
         }
+        Experiment::Upgrade { rounds, rate, seed } => {
+            let figures = upgrade::experiment(&upgrade::Plan { rounds, rate, seed })?;
+            if let Err(e) = figures.proves() {
+                println!("{}", figures.line());
+                return Err(e);
+            }
+            Ok(figures.line())
+        }
         Experiment::Ladder { mb, pipes } => ladder(mb, pipes),
         Experiment::Stores { jobs } => stores::experiment(jobs),
         Experiment::Dispatch { count, kb_s, least_kb_s } => {
--- /dev/null
+++ b/rig/src/upgrade.rs
@@ -0,0 +1,621 @@
+//! Upgrades under load: pairs of real processes at one address, with stand-in clients, booking workers and discovery,
+//! and faults at the seam by seed. What is judged is what clients and workers saw.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::{RigError, tried};
+
+/// How long a client waits for its answer.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// How long after the news of a drain new jobs may still come.
+const DRAIN: Duration = Duration::from_millis(2050);
+/// How long a step of an upgrade may take.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Booking workers.
+const WORKERS: usize = 4;
+
+/// What goes wrong in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// The new process is killed before it says yes.
+    NewDiesBefore,
+    /// The new process is killed after its yes.
+    NewDiesAfter,
+    /// The old process is killed during its end.
+    OldKilled,
+    /// The old process is frozen for a second in the middle of its end.
+    OldFrozen,
+    /// A third process is started while both are there.
+    Third,
+    /// The note of the old process is torn.
+    Torn,
+    /// A note cannot be left.
+    NoRoom,
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault::None,
+    Fault::NewDiesBefore,
+    Fault::NewDiesAfter,
+    Fault::OldKilled,
+    Fault::OldFrozen,
+    Fault::Third,
+    Fault::Torn,
+    Fault::NoRoom,
+];
+
+/// A small generator: the same faults and jobs for a seed on every machine (splitmix64).
+struct Draws(u64);
+
+impl Draws {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % bound
+    }
+}
+
+/// What a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Upgrades, one after the other.
+    pub rounds: usize,
+    /// Jobs a second.
+    pub rate: u64,
+    /// Decides faults and jobs.
+    pub seed: u64,
+}
+
+/// What clients and workers saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Upgrades played.
+    pub rounds: usize,
+    /// Jobs whose clients wrote them whole.
+    pub jobs: u64,
+    /// Jobs that were served.
+    pub served: u64,
+    /// Connections on which more came than the one answer.
+    pub answered_twice: u64,
+    /// Jobs without an answer that no kill of a process explains.
+    pub unanswered: u64,
+    /// Jobs without an answer at a kill.
+    pub killed: u64,
+    /// Jobs that may not run twice and did.
+    pub unsafe_ran_twice: u64,
+    /// Jobs that met a refused or reset connection.
+    pub refused_at_seam: u64,
+    /// Call-backs that reached one process and were taken by the other.
+    pub callbacks_other: u64,
+    /// Jobs that came to a draining worker too late.
+    pub late_drains: u64,
+}
+
+impl Figures {
+    /// The last line of the experiment.
+    pub fn line(&self) -> String {
+        format!(
+            "rounds={} jobs={} served={} answered_twice={} unanswered={} killed={} unsafe_ran_twice={} \
+             refused_at_seam={} callbacks_other={} late_drains={}",
+            self.rounds,
+            self.jobs,
+            self.served,
+            self.answered_twice,
+            self.unanswered,
+            self.killed,
+            self.unsafe_ran_twice,
+            self.refused_at_seam,
+            self.callbacks_other,
+            self.late_drains
+        )
+    }
+
+    /// Whether the proof holds.
+    pub fn proves(&self) -> Result<(), RigError> {
+        let zeros = [
+            ("answered_twice", self.answered_twice),
+            ("unanswered", self.unanswered),
+            ("unsafe_ran_twice", self.unsafe_ran_twice),
+            ("late_drains", self.late_drains),
+        ];
+        match zeros.into_iter().find(|z| z.1 > 0) {
+            Some((name, count)) => Err(RigError::Disproved(format!("{name} is {count}"))),
+            None if self.jobs == 0 || self.served * 2 < self.jobs => {
+                Err(RigError::Disproved("less than half of the jobs were served".into()))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+/// All that the stand-ins share.
+struct World {
+    address: SocketAddr,
+    dials: Vec<SocketAddr>,
+    over: AtomicBool,
+    /// Runs of each job.
+    runs: Mutex<HashMap<String, u32>>,
+    /// When a process was killed.
+    kills: Mutex<Vec<Instant>>,
+    /// The version of the list, and which worker drains since when.
+    list: Mutex<(u64, Option<(usize, Instant)>)>,
+    figures: Mutex<Figures>,
+    next: AtomicU64,
+}
+
+fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// One side of an HTTP connection.
+struct Http(BufReader<TcpStream>);
+
+impl Http {
+    fn over(stream: TcpStream, patience: Duration) -> std::io::Result<Http> {
+        stream.set_read_timeout(Some(patience))?;
+        stream.set_nodelay(true)?;
+        Ok(Http(BufReader::new(stream)))
+    }
+
+    fn connect(address: SocketAddr, patience: Duration) -> std::io::Result<Http> {
+        Http::over(TcpStream::connect_timeout(&address, Duration::from_secs(1))?, patience)
+    }
+
+    fn write(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+
+    /// A whole message: its head and its body.
+    fn read(&mut self) -> std::io::Result<(String, String)> {
+        let (mut head, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line)? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            if line.trim().is_empty() {
+                break;
+            }
+            if let Some((name, value)) = line.split_once(':')
+                && name.eq_ignore_ascii_case("content-length")
+            {
+                length = value.trim().parse().unwrap_or(0usize).min(1 << 16);
+            }
+            head.push_str(&line);
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body)?;
+        Ok((head, String::from_utf8_lossy(&body).into_owned()))
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+fn status(head: &str) -> u16 {
+    head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+/// Serves each connection of a listener on a thread of its own until the run is over.
+fn serve(world: &Arc<World>, listener: TcpListener, each: fn(&Arc<World>, usize, Http), number: usize) {
+    let world = Arc::clone(world);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if world.over.load(Ordering::Relaxed) {
+                return;
+            }
+            let world = Arc::clone(&world);
+            thread::spawn(move || {
+                if let Ok(http) = Http::over(stream, Duration::from_secs(120)) {
+                    each(&world, number, http);
+                }
+            });
+        }
+    });
+}
+
+/// A booking worker: takes each job, runs it for 20 to 300 ms, and calls back until it is heard.
+fn worker(world: &Arc<World>, number: usize, mut http: Http) {
+    while let Ok((head, _)) = http.read() {
+        let began = Instant::now();
+        let Some(id) = header(&head, "req-id").map(String::from) else {
+            let _ = http.write("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        };
+        let drains = held(&world.list).1.filter(|d| d.0 == number);
+        if drains.is_some_and(|(_, since)| began > since + DRAIN) {
+            held(&world.figures).late_drains += 1;
+        }
+        *held(&world.runs).entry(id.clone()).or_default() += 1;
+        if http.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").is_err() {
+            return;
+        }
+        let world = Arc::clone(world);
+        thread::spawn(move || {
+            let mut draws = Draws(id.bytes().fold(7, |sum, b| sum * 31 + u64::from(b)));
+            call_back(&world, number, &id, "started");
+            thread::sleep(Duration::from_millis(20 + draws.below(280)));
+            call_back(&world, number, &id, "done");
+        });
+    }
+}
+
+/// Calls back on a new connection until the call is answered, ten times at most.
+fn call_back(world: &World, number: usize, id: &str, state: &str) {
+    let body = format!(r#"{{"id":"{id}","from":"s-{number}","state":"{state}","result":"{id}"}}"#);
+    let text =
+        format!("POST /v1/job-events HTTP/1.1\r\nHost: d\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    for _ in 0..10 {
+        let told = Http::connect(world.address, Duration::from_secs(2)).and_then(|mut http| {
+            http.write(&text)?;
+            http.read()
+        });
+        if told.is_ok_and(|(head, _)| matches!(status(&head), 200 | 204)) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Discovery: the list, and a watch of its changes.
+fn discovery(world: &Arc<World>, _: usize, mut http: Http) {
+    while let Ok((head, _)) = http.read() {
+        let target = head.split(' ').nth(1).unwrap_or("").to_string();
+        let of =
+            |name: &str| target.split(['?', '&']).find_map(|p| p.strip_prefix(name)?.parse::<u64>().ok());
+        let end = Instant::now() + Duration::from_millis(of("timeout_ms=").unwrap_or(0).min(20_000));
+        while of("since=").is_some_and(|since| since >= held(&world.list).0) && Instant::now() < end {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let (version, drains) = *held(&world.list);
+        let line = |(n, dial): (usize, &SocketAddr)| {
+            let health = if drains.is_some_and(|d| d.0 == n) { "draining" } else { "up" };
+            format!(r#"{{"host":"s-{n}","dial":"{dial}","health":"{health}","share":1.0,"born_ms":0}}"#)
+        };
+        let hosts: Vec<String> = world.dials.iter().enumerate().map(line).collect();
+        let body = format!(r#"{{"seq":{version},"whole":true,"hosts":[{}]}}"#, hosts.join(","));
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if http.write(&answer).is_err() {
+            return;
+        }
+    }
+}
+
+/// Whether a process was killed since then.
+fn killed(world: &World, began: Instant) -> bool {
+    held(&world.kills).iter().any(|k| *k >= began)
+}
+
+/// A client: submits jobs at a pace and waits for each answer.
+fn client(world: &Arc<World>, pause: Duration) {
+    let mut conn: Option<Http> = None;
+    while !world.over.load(Ordering::Relaxed) {
+        thread::sleep(pause);
+        let number = world.next.fetch_add(1, Ordering::Relaxed);
+        let (id, class) = (format!("j{number}"), if number.is_multiple_of(3) { "search" } else { "confirm" });
+        let text = format!(
+            "POST /{class}/x HTTP/1.1\r\nHost: d\r\nReq-Id: {id}\r\nReq-Deadline: {}m\r\nContent-Length: 3\r\n\r\njob",
+            DEADLINE.as_millis()
+        );
+        let began = Instant::now();
+        // A kept connection may have been closed between requests: the job goes once more on a new one.
+        let mut end = None;
+        for _ in 0..3 {
+            let kept = conn.is_some();
+            let Some(mut http) = conn.take().or_else(|| Http::connect(world.address, DEADLINE * 2).ok())
+            else {
+                held(&world.figures).refused_at_seam += 1;
+                thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            if kept && !http.0.buffer().is_empty() {
+                held(&world.figures).answered_twice += 1;
+            }
+            match http.write(&text).and_then(|()| http.read()) {
+                Ok((head, body)) => {
+                    let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+                    end = Some((status(&head), body == id));
+                    conn = (!closes).then_some(http);
+                    break;
+                }
+                // A close or reset that crossed a request which nobody has read.
+                Err(e)
+                    if e.kind() != std::io::ErrorKind::WouldBlock
+                        && !held(&world.runs).contains_key(&id)
+                        && !killed(world, began) =>
+                {
+                    held(&world.figures).refused_at_seam += u64::from(!kept);
+                }
+                Err(e) => {
+                    if !killed(world, began) {
+                        println!("{id}: no answer after {:?}: {e}", began.elapsed());
+                    }
+                    break;
+                }
+            }
+        }
+        let mut figures = held(&world.figures);
+        figures.jobs += 1;
+        match end {
+            Some((200, true)) => figures.served += 1,
+            Some((200, false)) => figures.answered_twice += 1,
+            Some(_) => {}
+            None if killed(world, began) => figures.killed += 1,
+            None => figures.unanswered += 1,
+        }
+        if end.is_some() && began.elapsed() > DEADLINE + Duration::from_millis(500) {
+            println!("{id}: answered after {:?}", began.elapsed());
+            figures.unanswered += 1;
+        }
+    }
+}
+
+/// A process of the program, killed when it is dropped.
+struct Process {
+    child: Child,
+    console: SocketAddr,
+}
+
+impl Process {
+    /// Starts it and waits until it listens.
+    fn start(binary: &Path, config: &Path, notes: &Path) -> Result<Process, RigError> {
+        let mut command = Command::new(binary);
+        for variable in ["LB_LISTEN", "LB_DISCOVERY", "LB_NAME", "LB_CONSOLE"] {
+            command.env_remove(variable);
+        }
+        command.env("LB_CONFIG", config).env("TMPDIR", notes);
+        let mut child = tried("the program", command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn())?;
+        let mut out = BufReader::new(child.stdout.take().ok_or(RigError::Program("no output".into()))?);
+        let mut console = None;
+        for _ in 0..2 {
+            let mut line = String::new();
+            tried("its output", out.read_line(&mut line))?;
+            console = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        }
+        match console {
+            Some(console) => Ok(Process { child, console }),
+            None => {
+                let _ = child.kill();
+                Err(RigError::Program("it does not listen".into()))
+            }
+        }
+    }
+
+    fn ready(&self) -> bool {
+        let ask = || -> std::io::Result<bool> {
+            let mut stream = TcpStream::connect(self.console)?;
+            stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+            stream.write_all(b"readyz\n")?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer.starts_with("ACK"))
+        };
+        ask().unwrap_or(false)
+    }
+
+    fn await_ready(&self) -> Result<(), RigError> {
+        let end = Instant::now() + PATIENCE;
+        while !self.ready() {
+            if Instant::now() > end {
+                return Err(RigError::Program("it never says that it is ready".into()));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        Ok(())
+    }
+
+    fn signal(&self, name: &str) -> Result<(), RigError> {
+        let line = format!("kill -{name} {}", self.child.id());
+        tried("kill", Command::new("/bin/sh").args(["-c", &line]).status()).map(drop)
+    }
+
+    /// Waits for its end, at a kill after the time that the platform gives; how many call-backs it passed on.
+    fn end(mut self, world: &World) -> Result<u64, RigError> {
+        let end = Instant::now() + Duration::from_millis(3700);
+        while tried("its end", self.child.try_wait())?.is_none() {
+            if Instant::now() > end {
+                held(&world.kills).push(Instant::now());
+                let _ = self.child.kill();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        let mut text = String::new();
+        if let Some(mut log) = self.child.stderr.take() {
+            tried("its log", log.read_to_string(&mut text))?;
+        }
+        let passed = text.lines().find_map(|l| l.strip_prefix("passed_on ")?.parse().ok());
+        Ok(passed.unwrap_or(0))
+    }
+
+    fn kill(mut self, world: &World) {
+        held(&world.kills).push(Instant::now());
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn config(world: &World, discovery: SocketAddr) -> String {
+    let class = |name: &str, semantics: &str| {
+        format!(r#"{{"name":"{name}","aim":2000000,"hardLimit":4000000,"semantics":"{semantics}"}}"#)
+    };
+    let hosts = world.dials.iter().enumerate().map(|(n, dial)| {
+        format!(r#"{{"host":"s-{n}","dial":"{dial}","health":"up","share":1.0,"born_ms":0}}"#)
+    });
+    let hosts: Vec<String> = hosts.collect();
+    format!(
+        r#"{{"name":"n0","listen":"{}","console":"127.0.0.1:0","discovery":"{discovery}","seed":"5eed",
+        "limits":{{"sockets":512}},"known":{{"seq":1,"whole":true,"hosts":[{}]}},
+        "settings":{{"balancers":1,"myNumber":0,"quantum":1000,"membershipMode":"subscribe",
+        "grades":[{},{}],"caps":{{"sendCap":5,"mayCancel":true,"connIdle":15000000,"connectTimeout":250000,
+        "maxRetryAfter":2000000}},"familyInfo":{{"tellsStart":true}},"report":{{"how":"off","fields":[]}},
+        "rules":{{"coldFrom":0.1,"cold":20000000,"tipMultiple":2.5,"askWithin":4000000}}}}}}"#,
+        world.address,
+        hosts.join(","),
+        class("search", "retryable"),
+        class("confirm", "fragile"),
+    )
+}
+
+/// Damages what the old process has left for the new one, or keeps the new one from leaving anything.
+fn damage(notes: &Path, fault: Fault) -> Result<(), RigError> {
+    for entry in tried("the notes", std::fs::read_dir(notes))?.flatten() {
+        let path = entry.path();
+        if path.extension().is_none_or(|e| e != "handover") {
+            continue;
+        }
+        match fault {
+            Fault::Torn => tried("a note", std::fs::write(&path, "micabeam-handover 1 pid="))?,
+            // A directory in its place cannot be replaced by a file.
+            Fault::NoRoom => {
+                let _ = std::fs::remove_file(&path);
+                tried("a note", std::fs::create_dir_all(path.join("full")))?;
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// One upgrade: starts a process beside the one that serves, and ends that one. Gives the one that serves then.
+fn round(
+    world: &World,
+    old: Process,
+    fault: Fault,
+    start: &dyn Fn() -> Result<Process, RigError>,
+) -> Result<Process, RigError> {
+    let new = start()?;
+    if fault == Fault::NewDiesBefore {
+        new.kill(world);
+        return Ok(old);
+    }
+    new.await_ready()?;
+    if fault == Fault::NewDiesAfter {
+        new.kill(world);
+        return Ok(old);
+    }
+    let new = if fault == Fault::Third {
+        let third = start()?;
+        third.await_ready()?;
+        new.signal("TERM")?;
+        let passed = new.end(world)?;
+        held(&world.figures).callbacks_other += passed;
+        third
+    } else {
+        new
+    };
+    old.signal("TERM")?;
+    match fault {
+        Fault::OldKilled => {
+            thread::sleep(Duration::from_millis(200));
+            old.kill(world);
+            return Ok(new);
+        }
+        Fault::OldFrozen => {
+            thread::sleep(Duration::from_millis(100));
+            old.signal("STOP")?;
+            thread::sleep(Duration::from_millis(1000));
+            old.signal("CONT")?;
+        }
+        _ => {}
+    }
+    let passed = old.end(world)?;
+    held(&world.figures).callbacks_other += passed;
+    Ok(new)
+}
+
+/// Plays a plan with the real program.
+pub fn experiment(plan: &Plan) -> Result<Figures, RigError> {
+    let binary = crate::program::build()?;
+    let notes: PathBuf =
+        std::env::temp_dir().join(format!("micabeam-upgrade-{}-{}", std::process::id(), plan.seed));
+    tried("the notes", std::fs::create_dir_all(&notes))?;
+    let listen = || tried("a stand-in", TcpListener::bind("127.0.0.1:0"));
+    let workers = (0..WORKERS).map(|_| listen()).collect::<Result<Vec<_>, _>>()?;
+    let lists = listen()?;
+    let pid = std::process::id();
+    // An address that nothing else of this machine's tests listens at.
+    let address = SocketAddr::from(([127, 201 + (pid >> 8) as u8 % 50, pid as u8, plan.seed as u8], 8081));
+    let local = |l: &TcpListener| tried("a stand-in", l.local_addr());
+    let world = Arc::new(World {
+        address,
+        dials: workers.iter().map(local).collect::<Result<_, _>>()?,
+        over: AtomicBool::new(false),
+        runs: Mutex::default(),
+        kills: Mutex::default(),
+        list: Mutex::new((1, None)),
+        figures: Mutex::default(),
+        next: AtomicU64::new(0),
+    });
+    let file = notes.join("config.json");
+    tried("the configuration", std::fs::write(&file, config(&world, local(&lists)?)))?;
+    workers.into_iter().enumerate().for_each(|(n, l)| serve(&world, l, worker, n));
+    serve(&world, lists, discovery, 0);
+    let start = || Process::start(&binary, &file, &notes);
+    let mut serving = start()?;
+    serving.await_ready()?;
+    let clients = (plan.rate / 4).clamp(1, 64);
+    let pause = Duration::from_secs_f64(clients as f64 / plan.rate.max(1) as f64);
+    let threads: Vec<_> = (0..clients)
+        .map(|_| {
+            let world = Arc::clone(&world);
+            thread::spawn(move || client(&world, pause))
+        })
+        .collect();
+    let mut draws = Draws(plan.seed);
+    for number in 0..plan.rounds {
+        let fault = FAULTS[draws.below(FAULTS.len() as u64) as usize];
+        println!("round {number}: {fault:?}");
+        {
+            let mut list = held(&world.list);
+            let drains = draws.below(WORKERS as u64 + 1) as usize;
+            *list = (list.0 + 1, (drains < WORKERS).then(|| (drains, Instant::now())));
+        }
+        damage(&notes, fault)?;
+        thread::sleep(Duration::from_millis(draws.below(300)));
+        serving = round(&world, serving, fault, &start)?;
+        if fault == Fault::NoRoom {
+            for entry in tried("the notes", std::fs::read_dir(&notes))?.flatten() {
+                let _ = std::fs::remove_dir_all(entry.path().join("full"));
+                let _ = std::fs::remove_dir(entry.path());
+            }
+        }
+    }
+    world.over.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().map_err(|_| RigError::Disproved("a client panicked".into()))?;
+    }
+    serving.signal("TERM")?;
+    let passed = serving.end(&world)?;
+    let _ = std::fs::remove_dir_all(&notes);
+    let number = |id: &str| id[1..].parse::<u64>().unwrap_or(0);
+    let runs = held(&world.runs);
+    let twice = runs.iter().filter(|(id, runs)| **runs > 1 && !number(id).is_multiple_of(3)).count() as u64;
+    drop(runs);
+    let mut figures = *held(&world.figures);
+    figures.rounds = plan.rounds;
+    figures.callbacks_other += passed;
+    figures.unsafe_ran_twice = twice;
+    Ok(figures)
+}
--- a/src/front/handover.rs
+++ b/src/front/handover.rs
@@ -66,7 +66,21 @@
         crate::say(format_args!("the hand-over note {} is ignored: it does not read", path.display()));
         return false;
     };
-    note.pid != own && note.at >= since && Path::new(&format!("/proc/{}", note.pid)).exists()
+    note.pid != own && note.at >= since && lives(note.pid)
+}
+
+/// The live process beside this one that the note names, if there is one. What does not read names none.
+pub fn beside(path: &Path, own: u32) -> Option<u32> {
+    let note = Note::parse(&read(path).ok()??)?;
+    (note.pid != own && lives(note.pid)).then_some(note.pid)
+}
+
+/// Whether a process is there, and not only its entry that nobody has taken note of.
+pub fn lives(pid: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"));
+    stat.is_ok_and(|stat| {
+        !matches!(stat.rsplit(") ").next().and_then(|rest| rest.chars().next()), Some('Z' | 'X'))
+    })
 }
 
 fn read(path: &Path) -> std::io::Result<Option<String>> {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -187,6 +187,10 @@
     pub fn call(&mut self, call: Call) -> String {
         let now = self.clock.now();
         match call {
+            // At its yes the process that it replaces may stop listening.
+            Call::Readyz if self.platform.as_ref().is_some_and(|front| !front.joined()) => {
+                "NAK joining\n".into()
+            }
             Call::Readyz if self.life.ready() => "ACK ready\n".into(),
             Call::Readyz => format!("NAK {}\n", phase(self.life.phase())),
             Call::Telemetry => self.telemetry() + "--\n",
@@ -270,7 +274,10 @@
 
     /// The counters of all fronts.
     pub fn counters(&self) -> String {
-        let platform = self.platform.as_ref().map(|f| format!("platform\n{}", f.core().counters()));
+        let platform = self
+            .platform
+            .as_ref()
+            .map(|f| format!("platform\n{}passed_on {}\n", f.core().counters(), f.passed_on()));
         let gearman = self.gearman.as_ref().map(|f| format!("gearman\n{}", f.core().counters()));
         let stream = self.stream.as_ref().map(|f| format!("stream\n{}", f.counters()));
         platform.unwrap_or_default() + &gearman.unwrap_or_default() + &stream.unwrap_or_default()
--- a/src/front/platform/callbacks.rs
+++ b/src/front/platform/callbacks.rs
@@ -4,37 +4,47 @@
 use crate::api::{Outcome, Report};
 use crate::json::{self, JsonValue, field, text};
 
+/// What a call is to this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Called {
+    /// It does not read.
+    Malformed,
+    /// It is of a job of this process. What is repeated or late is acknowledged all the same, since the caller
+    /// would only try again.
+    Taken,
+    /// This process has no such job.
+    Unknown,
+}
+
 impl Platform {
-    /// Reads one call. False where it is malformed; what is unknown, repeated or late is acknowledged all the
-    /// same, since the caller would only try again.
-    pub(super) fn call_back(&mut self, body: &[u8]) -> bool {
-        let Ok(call) = json::parse(body) else { return false };
+    /// Reads one call.
+    pub(super) fn call_back(&mut self, body: &[u8]) -> Called {
+        let Ok(call) = json::parse(body) else { return Called::Malformed };
         let (Some(id), Some(from), Some(state)) =
             (text(&call, "id"), text(&call, "from"), text(&call, "state"))
         else {
-            return false;
+            return Called::Malformed;
         };
         // Guards against a late call from a dispatch that was given up: both the id and the sender must match
         // a dispatch that is still out.
         let server = self.core.table().id(from);
-        let session = self.ids.get(id).copied();
-        let Some((session, attempt)) = session.zip(server).and_then(|(session, server)| {
+        let Some(session) = self.ids.get(id).copied() else { return Called::Unknown };
+        let Some(attempt) = server.and_then(|server| {
             let dispatches = &self.core.session(session)?.dispatches;
-            let attempt = dispatches.iter().rposition(|d| d.out && d.server == server)?;
-            Some((session, attempt))
+            dispatches.iter().rposition(|d| d.out && d.server == server)
         }) else {
-            return true;
+            return Called::Taken;
         };
         let outcome = match state {
             "started" => {
                 self.core.started(session, attempt);
-                return true;
+                return Called::Taken;
             }
             "done" => Outcome::Served,
             "failed" => Outcome::Error,
             "returned" => Outcome::Full,
             "lost" => Outcome::Reset,
-            _ => return true,
+            _ => return Called::Taken,
         };
         let report = field(&call, "load").map_or(Report::default(), |load| self.load(load));
         let result = match field(&call, "result") {
@@ -45,7 +55,7 @@
         // The answer to the dispatch itself may be on its way yet: its connection waits for that.
         self.detach((session, attempt));
         self.core.ended(session, attempt, outcome, report, result);
-        true
+        Called::Taken
     }
 
     /// A load report that is a JSON object.
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -4,7 +4,8 @@
 
 use rustc_hash::FxHashMap;
 
-use super::{Job, Platform};
+use super::callbacks::Called;
+use super::{Job, Platform, seam};
 use crate::core::{Request, SessionId, Verdict};
 use crate::front::Sockets;
 use crate::net::http::{self, Bad, Message};
@@ -30,12 +31,16 @@
 const PASSED: [&str; 2] = ["content-type", "accept"];
 
 /// One connection that was accepted.
-struct Client {
+pub(super) struct Client {
     session: Option<SessionId>,
     /// Since when it has had nothing to do.
     idle: f64,
     /// It has brought call-backs, which go on to come while the program stops.
     calls_back: bool,
+    /// It is a process of this dispatcher, which passes call-backs on.
+    pub link: bool,
+    /// Its call-back waits for the word of another process.
+    pub waits: bool,
     /// Its last answer is written; it ends by then.
     ends: Option<f64>,
     /// A whole request is to come by then, if one is due.
@@ -74,6 +79,11 @@
         self.conns.contains_key(&conn)
     }
 
+    /// One of them.
+    pub fn client(&mut self, conn: ConnId) -> Option<&mut Client> {
+        self.conns.get_mut(&conn)
+    }
+
     /// When to look again.
     pub fn next(&self) -> f64 {
         if !self.later.is_empty() {
@@ -137,6 +147,8 @@
                 session: None,
                 idle,
                 calls_back: false,
+                link: false,
+                waits: false,
                 ends: None,
                 sends,
                 coming: None,
@@ -188,7 +200,7 @@
             }
             let unread = conn.rx.len();
             match self.clients.conns.get(&id) {
-                Some(client) if client.session.is_none() => {}
+                Some(client) if client.session.is_none() && !client.waits => {}
                 Some(client) => {
                     let held = client.held.max(unread);
                     self.clients.hold(id, held);
@@ -302,8 +314,20 @@
         let path = message.target.split('?').next().unwrap_or("").to_string();
         let close = message.close;
         match (message.method.as_str(), path.as_str()) {
-            ("GET", "/up") if self.sends_away() => self.reply(net, id, 503, &[], b"evacuating\n", close),
-            ("GET", "/up") => self.reply(net, id, 200, &[], b"ready\n", close),
+            ("GET", "/up") => {
+                let (status, says) = if self.sends_away() { (503, "evacuating\n") } else { (200, "ready\n") };
+                let process = [(seam::PROCESS, std::process::id().to_string())];
+                self.reply(net, id, status, &process, says.as_bytes(), close);
+            }
+            ("GET", "/v1/seam") => {
+                if let Some(client) = self.clients.conns.get_mut(&id) {
+                    (client.calls_back, client.link, client.usual) = (true, true, true);
+                }
+                self.reply(net, id, 204, &[], b"", close);
+                if let Some(pid) = message.header(seam::ASKED) {
+                    self.met(net, pid);
+                }
+            }
             ("GET", "/counters") => {
                 let text = self.core.counters().to_string();
                 self.reply(net, id, 200, &[], text.as_bytes(), close);
@@ -312,7 +336,15 @@
                 if let Some(client) = self.clients.conns.get_mut(&id) {
                     (client.calls_back, client.usual) = (true, true);
                 }
-                let status = if self.call_back(&message.body) { 204 } else { 400 };
+                let asked = message.header(seam::ASKED);
+                let status = match self.call_back(&message.body) {
+                    Called::Malformed => 400,
+                    Called::Taken => 204,
+                    Called::Unknown if self.pass_on(net, id, &message.body, asked) => return,
+                    Called::Unknown if asked.is_some() => 410,
+                    // Nobody knows it: its sender would only try again.
+                    Called::Unknown => 204,
+                };
                 self.reply(net, id, status, &[], b"", close);
             }
             ("POST", _) => self.job(net, id, &path, message),
@@ -392,7 +424,7 @@
         }
     }
 
-    fn reply(
+    pub(super) fn reply(
         &mut self,
         net: &mut Sockets,
         id: ConnId,
@@ -402,8 +434,11 @@
         close: bool,
     ) {
         // A client sent away is closed once answered; call-backs of backend servers go on.
-        let away = self.evacuating && self.clients.conns.get(&id).is_some_and(|c| !c.calls_back);
-        let close = close || away || self.closes() || matches!(status, 400 | 413 | 501);
+        let client = self.clients.conns.get(&id);
+        let away = self.evacuating && client.is_some_and(|c| !c.calls_back);
+        // A link stays to the end: the process at its other end could not open another.
+        let ends = self.closes() && client.is_none_or(|c| !c.link);
+        let close = close || away || ends || matches!(status, 400 | 413 | 501);
         if !net.write(id, &http::answer(status, headers, body, close)) {
             return self.drop_client(net, id);
         }
@@ -420,7 +455,7 @@
 }
 
 fn idle_now(client: &Client) -> bool {
-    client.session.is_none() && client.ends.is_none()
+    client.session.is_none() && !client.waits && client.ends.is_none()
 }
 
 /// Whether an id can stand in a path, as it must to call a dispatch off.
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod config;
 mod probes;
+mod seam;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,6 +42,8 @@
     discovery: Discovery,
     jobs: FxHashMap<SessionId, Job>,
     ids: FxHashMap<Rc<str>, SessionId>,
+    /// The processes beside this one at an upgrade.
+    links: Option<seam::Links>,
     stopping: Option<Leaving>,
     /// Clients are sent away: `/up` says no, and connections are closed once they are idle.
     evacuating: bool,
@@ -59,6 +62,7 @@
             core: Core::new(site, seed, clock, budget.sessions),
             jobs: FxHashMap::default(),
             ids: FxHashMap::default(),
+            links: None,
             stopping: None,
             evacuating: false,
             away_look: f64::INFINITY,
@@ -95,7 +99,8 @@
 
     /// Whether a connection is one of its own.
     pub fn owns(&self, conn: ConnId) -> bool {
-        self.clients.owns(conn) || self.backends.owns(conn) || self.discovery.owns(conn)
+        let link = self.links.as_ref().is_some_and(|links| links.owns(conn));
+        link || self.clients.owns(conn) || self.backends.owns(conn) || self.discovery.owns(conn)
     }
 
     /// A connection can be read or written, came up or broke.
@@ -104,6 +109,8 @@
             self.client_ready(net, conn);
         } else if self.backends.owns(conn) {
             self.backend_ready(net, conn);
+        } else if self.links.as_ref().is_some_and(|links| links.owns(conn)) {
+            self.link_ready(net, conn);
         } else {
             let now = self.core.clock().now();
             let heard = self.discovery.ready(net, now, self.core.site());
@@ -162,6 +169,7 @@
         self.carry_out(net);
         let now = self.core.clock().now();
         self.sweep_clients(net, now);
+        self.sweep_links(net, now);
         if self.evacuating && !self.closes() && now >= self.away_look {
             // New connections are left alone a while, lest a first call-back be cut off: look again for them.
             self.close_idle(net);
@@ -187,7 +195,8 @@
         let wake = self.core.wake_at().unwrap_or(f64::INFINITY);
         let away = if self.evacuating { self.away_look } else { f64::INFINITY };
         let front = self.backends.next().min(self.discovery.next()).min(self.clients.next());
-        wake.min(front).min(last_call).min(away)
+        let links = self.links.as_ref().map_or(f64::INFINITY, |links| links.next());
+        wake.min(front).min(last_call).min(away).min(links)
     }
 
     /// Sends clients away, or takes them again. What is open is finished, and answered with a close.
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -77,8 +78,14 @@
     let platform = platform.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
     let console = console.map(|address| open_console(address, &mut net)).transpose()?;
     let life = Lifecycle::new(clock.now());
-    let note = platform.as_ref().map(|(_, local)| leave_note(*local, &clock)).unwrap_or_default();
-    let platform = platform.map(|(front, _)| front);
+    let mut note = None;
+    let platform = platform.map(|(mut front, local)| {
+        let path = handover::path(&std::env::temp_dir(), local);
+        let before = handover::beside(&path, std::process::id());
+        note = leave_note(&path, &clock);
+        front.join(&mut net, local, path, before);
+        front
+    });
     let mut gateway = Gateway { net, platform, gearman, stream, console, life, note, clock, files };
     gateway.tick();
     while !gateway.stopped() {
@@ -97,11 +104,10 @@
 }
 
 /// Leaves the note that tells a process at the same address that this one takes over from it.
-fn leave_note(local: SocketAddr, clock: &Clock) -> Option<(std::path::PathBuf, u64)> {
-    let path = handover::path(&std::env::temp_dir(), local);
+fn leave_note(path: &Path, clock: &Clock) -> Option<(PathBuf, u64)> {
     let note = handover::Note { pid: std::process::id(), at: clock.now() as u64 };
-    match handover::leave(&path, note) {
-        Ok(()) => Some((path, note.at)),
+    match handover::leave(path, note) {
+        Ok(()) => Some((path.to_path_buf(), note.at)),
         Err(e) => {
             say(format_args!("no hand-over note at {}: {e}", path.display()));
             None
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -53,7 +53,22 @@
     }
 
     fn with(config: Option<&str>, gearman: Option<&str>, operator: Option<&str>) -> Program {
+        Program::of(Command::new(env!("CARGO_BIN_EXE_micabeam")), config, gearman, operator)
+    }
+
+    /// The program with a directory for its notes.
+    pub fn beside(config: &str, notes: &std::path::Path) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_micabeam"));
+        command.env("TMPDIR", notes);
+        Program::of(command, Some(config), None, None)
+    }
+
+    fn of(
+        mut command: Command,
+        config: Option<&str>,
+        gearman: Option<&str>,
+        operator: Option<&str>,
+    ) -> Program {
         for variable in ["LB_CONFIG", "LB_LISTEN", "LB_DISCOVERY", "LB_NAME"] {
             command.env_remove(variable);
         }
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,226 @@
+//! Stories of an upgrade: two or three processes of the program at one address, and call-backs that reach any of them.
+
+#[path = "common/net.rs"]
+mod net;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Instant;
+
+use net::*;
+
+/// An installation: an address of its own that processes share, their notes, and one booking worker.
+struct Site {
+    address: SocketAddr,
+    notes: PathBuf,
+    worker: TcpListener,
+    config: String,
+}
+
+impl Site {
+    fn new() -> Site {
+        static NEXT: AtomicU32 = AtomicU32::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) as u8;
+        let pid = std::process::id();
+        // No other process of this machine's tests has this address.
+        let address = SocketAddr::from(([127, 1 + (pid >> 8) as u8 % 200, pid as u8, number], 8081));
+        let notes = file("notes", "").parent().unwrap().to_path_buf();
+        let (worker, dial) = listener();
+        let config = config(256, nobody(), &[("s-1", dial)])
+            .replacen('{', r#"{"console": "127.0.0.1:0", "#, 1)
+            .replace(r#""listen": "127.0.0.1:0""#, &format!(r#""listen": "{address}""#));
+        Site { address, notes, worker, config }
+    }
+
+    /// Starts a process, and waits until it says that it is ready.
+    fn start(&self) -> (Program, SocketAddr) {
+        let mut program = Program::beside(&self.config, &self.notes);
+        assert_eq!(program.address(), self.address);
+        let console = program.address();
+        let end = Instant::now() + PATIENCE;
+        while !readyz(console).starts_with("ACK") {
+            assert!(Instant::now() < end, "it says that it is ready");
+        }
+        (program, console)
+    }
+
+    /// A client with a job that the worker has taken, handed to the process.
+    fn job(&self, process: &Program, id: &str) -> Http {
+        let mut client = self.client(process);
+        client.submit("confirm-booking", id);
+        let mut job = Http::accept(&self.worker);
+        assert!(job.read().0.contains(id));
+        job.take();
+        client
+    }
+
+    /// A client's connection that the kernel has dealt to the process.
+    fn client(&self, process: &Program) -> Http {
+        let pid = process.child.id().to_string();
+        for _ in 0..200 {
+            let mut client = Http::connect(self.address);
+            client.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+            if value(&client.read().0, "lb-process") == Some(pid.clone()) {
+                return client;
+            }
+        }
+        panic!("no connection reaches {pid}");
+    }
+
+    /// Whether a new connection reaches the process. What waits to be accepted as the other stops listening is reset.
+    fn reaches(&self, process: &Program) -> bool {
+        let ask = || -> std::io::Result<String> {
+            let mut stream = TcpStream::connect(self.address)?;
+            stream.set_read_timeout(Some(PATIENCE))?;
+            stream.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer)
+        };
+        ask().is_ok_and(|answer| value(&answer, "lb-process") == Some(process.child.id().to_string()))
+    }
+
+    /// Calls back over a connection that reaches the process; gives the status.
+    fn call_at(&self, process: &Program, id: &str, result: &str) -> String {
+        call(&mut self.client(process), id, result)
+    }
+}
+
+fn call(http: &mut Http, id: &str, result: &str) -> String {
+    let body = format!(r#"{{"id":"{id}","from":"s-1","state":"done","result":"{result}"}}"#);
+    http.write(&format!(
+        "POST /v1/job-events HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ));
+    http.read().0.split(' ').nth(1).unwrap_or("").to_string()
+}
+
+fn readyz(console: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(console).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(b"readyz\n").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+fn served(client: &mut Http) -> String {
+    let (head, body) = client.read();
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    body
+}
+
+/// Seen on the operators' days: once the old process has stopped listening, call-backs of its jobs reach the new one,
+/// which acknowledged and forgot them, and the jobs timed out.
+#[test]
+fn a_call_back_that_reaches_the_other_process_ends_its_job() {
+    let site = Site::new();
+    let (old, _) = site.start();
+    let mut waiting: Vec<Http> = (0..4).map(|n| site.job(&old, &format!("old-{n}"))).collect();
+    let (new, _) = site.start();
+    let mut late = site.job(&new, "new-0");
+    assert_eq!(site.call_at(&new, "old-0", "0"), "204");
+    assert_eq!(served(&mut waiting[0]), "0");
+    assert_eq!(site.call_at(&old, "new-0", "n"), "204", "and the other way round");
+    assert_eq!(served(&mut late), "n");
+    old.signal("TERM");
+    let end = Instant::now() + PATIENCE;
+    // From here on the kernel deals all to the new one.
+    while !(0..8).all(|_| site.reaches(&new)) {
+        assert!(Instant::now() < end);
+    }
+    for (n, client) in waiting.iter_mut().enumerate().skip(1) {
+        assert_eq!(call(&mut Http::connect(site.address), &format!("old-{n}"), "r"), "204");
+        assert_eq!(served(client), "r");
+    }
+    drop(waiting);
+    let (well, log) = old.wait();
+    assert!(well, "{log}");
+    all_ended(&log);
+    assert_eq!((told(&log, "served"), told(&log, "failed")), (4, 0), "{log}");
+    assert_eq!(call(&mut Http::connect(site.address), "old-1", "again"), "204", "nobody knows it any more");
+}
+
+#[test]
+fn a_new_process_that_is_killed_takes_nothing_with_it() {
+    for before_its_yes in [true, false] {
+        let site = Site::new();
+        let (old, _) = site.start();
+        let mut client = site.job(&old, "a");
+        let new = if before_its_yes {
+            let mut new = Program::beside(&site.config, &site.notes);
+            new.address();
+            new
+        } else {
+            site.start().0
+        };
+        // The end of the program that is dropped is a kill.
+        drop(new);
+        assert_eq!(call(&mut Http::connect(site.address), "a", "r"), "204");
+        assert_eq!(served(&mut client), "r");
+        let mut next = site.job(&old, "b");
+        assert_eq!(site.call_at(&old, "b", "s"), "204");
+        assert_eq!(served(&mut next), "s");
+    }
+}
+
+#[test]
+fn a_call_back_for_a_process_that_was_killed_is_not_repeated_for_ever() {
+    let site = Site::new();
+    let (old, _) = site.start();
+    let client = site.job(&old, "a");
+    let (new, _) = site.start();
+    drop(old);
+    drop(client);
+    assert_eq!(site.call_at(&new, "a", "r"), "204", "its owner has gone, and the job with it");
+}
+
+/// The owner cannot be asked: the call must not be acknowledged, and the word must come once it can.
+#[test]
+fn a_frozen_owner_s_call_back_is_to_be_repeated_and_counts_once() {
+    let site = Site::new();
+    let (old, _) = site.start();
+    let mut client = site.job(&old, "a");
+    let (new, _) = site.start();
+    let mut caller = site.client(&new);
+    old.signal("STOP");
+    assert_eq!(call(&mut caller, "a", "r"), "503");
+    old.signal("CONT");
+    assert_eq!(call(&mut caller, "a", "r"), "204");
+    assert_eq!(served(&mut client), "r");
+}
+
+#[test]
+fn three_processes_pass_a_call_back_on_to_the_first() {
+    let site = Site::new();
+    let (first, _) = site.start();
+    let mut client = site.job(&first, "a");
+    let (_second, _) = site.start();
+    let (third, _) = site.start();
+    assert_eq!(site.call_at(&third, "a", "r"), "204");
+    assert_eq!(served(&mut client), "r");
+}
+
+#[test]
+fn a_note_that_is_torn_or_cannot_be_written_costs_no_job() {
+    let torn = Site::new();
+    let (old, _) = torn.start();
+    let note = std::fs::read_dir(&torn.notes).unwrap().filter_map(|e| Some(e.ok()?.path()));
+    let note: Vec<PathBuf> = note.filter(|p| p.extension().is_some_and(|e| e == "handover")).collect();
+    assert_eq!(note.len(), 1);
+    std::fs::write(&note[0], "micabeam-handover 1 pid=").unwrap();
+    let mut client = torn.job(&old, "a");
+    let (new, _) = torn.start();
+    assert_eq!(torn.call_at(&old, "a", "r"), "204");
+    assert_eq!(served(&mut client), "r");
+    drop(new);
+    // No directory for notes at all: one line, and the program serves.
+    let none = Site { notes: Path::new("/nonexistent/notes").to_path_buf(), ..Site::new() };
+    let (mut alone, _) = none.start();
+    assert!(alone.line().contains("no hand-over note"));
+    let mut client = none.job(&alone, "b");
+    assert_eq!(none.call_at(&alone, "b", "s"), "204");
+    assert_eq!(served(&mut client), "s");
+}
