--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -87,6 +87,9 @@
     pub held: usize,
     /// The sink takes no more for now.
     pub blocked: bool,
+    /// Nothing more can be read until the sink takes some, whatever the window says: a pipe that is not empty, a
+    /// buffer without room, a sink that has not come up.
+    pub full: bool,
 }
 
 /// A peer is to be given up.
@@ -122,6 +125,8 @@
     readable: bool,
     /// The sink takes none.
     blocked: bool,
+    /// Nothing more can be read before it does.
+    full: bool,
     queued: bool,
     /// It waits for room in the pool.
     thirsty: bool,
@@ -138,6 +143,7 @@
             held: 0,
             readable: false,
             blocked: false,
+            full: false,
             queued: false,
             thirsty: false,
             passed: 0,
@@ -249,7 +255,7 @@
             lane.sink = Meter::new(pace);
             self.held = self.held + held - lane.held;
             lane.held = held;
-            lane.blocked = false;
+            (lane.blocked, lane.full) = (false, false);
         }
         self.enter(stream, way, Phase::Open, now);
     }
@@ -285,7 +291,7 @@
     /// A lane's sink may take bytes.
     pub fn writable(&mut self, stream: StreamId, way: Way, now: f64) {
         if let Some(lane) = self.streams.get_mut(&stream).map(|s| s.lane(way)) {
-            lane.blocked = false;
+            (lane.blocked, lane.full) = (false, false);
             self.look(stream, way, now);
         }
     }
@@ -328,7 +334,8 @@
         let before = lane.held;
         self.held = self.held + moved.held - lane.held;
         lane.held = moved.held;
-        lane.blocked = moved.blocked;
+        // Guards against turns without end for a lane that waits for its sink: they would keep the whole loop busy.
+        (lane.blocked, lane.full) = (moved.blocked, moved.blocked && moved.full);
         lane.readable = moved.more;
         lane.source.moved(moved.read, now);
         lane.sink.moved(moved.taken, now);
@@ -356,7 +363,7 @@
             lane.queued = true;
             let line = if lane.passed < YOUNG { &mut self.young } else { &mut self.turns };
             line.push_back((stream, way));
-        } else if wants && credit == 0 && lane.held < window && !lane.thirsty {
+        } else if wants && credit == 0 && !lane.full && lane.held < window && !lane.thirsty {
             lane.thirsty = true;
             self.thirsty.push_back((stream, way));
         }
@@ -414,7 +421,7 @@
 
 /// Bytes that a lane may read now.
 fn credit(lane: &Lane, window: usize, pool: usize, held: usize) -> usize {
-    if lane.reads() && lane.readable { room(lane, window, pool, held) } else { 0 }
+    if lane.reads() && lane.readable && !lane.full { room(lane, window, pool, held) } else { 0 }
 }
 
 #[cfg(test)]
--- a/src/flow/tests.rs
+++ b/src/flow/tests.rs
@@ -29,7 +29,7 @@
         let turn = flow.turn().unwrap();
         assert_eq!(turn.read, 1_000);
         turns.push(turn.stream);
-        let moved = Moved { read: 1_000, more: true, taken: 1_000, held: 0, blocked: false };
+        let moved = Moved { read: 1_000, more: true, taken: 1_000, held: 0, ..Moved::default() };
         flow.moved(turn, moved, 0.0);
     }
     for round in turns.chunks(5) {
@@ -37,13 +37,34 @@
     }
 }
 
+/// Seen with slow peers of piped bodies: the window had room and the pipe had none, so that a lane which waited for its
+/// sink had turn after turn, and the loop took a whole core.
+#[test]
+fn a_lane_that_can_read_no_more_has_one_turn_for_each_time_that_its_sink_takes() {
+    let mut flow = flow(1, 1 << 20, 1 << 20);
+    let stuck = Moved { read: 1_000, more: true, held: 1_000, blocked: true, full: true, ..Moved::default() };
+    let mut turns = 0;
+    for _ in 0..100 {
+        // Bytes come to the source all the time.
+        flow.readable(0, Way::Up, 0.0);
+        while let Some(turn) = flow.turn() {
+            turns += 1;
+            assert!(turns <= 101, "turns without end");
+            flow.moved(turn, if turns == 1 { stuck } else { Moved { read: 0, ..stuck } }, 0.0);
+        }
+    }
+    assert_eq!(turns, 1);
+    flow.writable(0, Way::Up, 0.0);
+    assert_eq!(flow.turn().map(|t| t.read), Some(1_000));
+}
+
 /// Guards small requests behind many long streams, and those against a flood of small ones.
 #[test]
 fn a_lane_that_has_moved_little_goes_before_long_ones_and_not_always() {
     let mut flow = flow(200, 1 << 20, 1 << 30);
     let long = |flow: &mut Flow, turn| {
         let taken = YOUNG as usize;
-        flow.moved(turn, Moved { read: 1_000, more: true, taken, held: 0, blocked: false }, 0.0);
+        flow.moved(turn, Moved { read: 1_000, more: true, taken, held: 0, ..Moved::default() }, 0.0);
     };
     for _ in 0..400 {
         let turn = flow.turn().unwrap();
@@ -235,7 +256,7 @@
                     let taken = if what == 2 { held[at].min(size) } else { 0 };
                     held[at] -= taken;
                     let more = read == turn.read;
-                    let moved = Moved { read, more, taken, held: held[at], blocked: held[at] > 0 };
+                    let moved = Moved { read, more, taken, held: held[at], blocked: held[at] > 0, full: false };
                     flow.moved(turn, moved, now);
                 }
             }
@@ -253,7 +274,7 @@
             let Some(turn) = flow.turn() else { break };
             seen[turn.stream as usize] = true;
             held[turn.stream as usize] = 0;
-            flow.moved(turn, Moved { read: turn.read, more: true, taken: 1, held: 0, blocked: false }, now);
+            flow.moved(turn, Moved { read: turn.read, more: true, taken: 1, held: 0, ..Moved::default() }, now);
         }
         prop_assert!(seen.iter().all(|&s| s), "{:?}", seen);
     }
--- a/src/front/stream/relay.rs
+++ b/src/front/stream/relay.rs
@@ -191,6 +191,7 @@
     read: usize,
     more: bool,
     blocked: bool,
+    full: bool,
 }
 
 /// Takes payload of a body with a length through a pipe.
@@ -205,7 +206,7 @@
     loop {
         sink.splice_out(pipe);
         if pipe.held() > 0 {
-            passed.blocked = true;
+            (passed.blocked, passed.full) = (true, true);
             return passed;
         }
         let left = usize::try_from(decoder.left().unwrap_or(0)).unwrap_or(usize::MAX);
@@ -252,7 +253,7 @@
     let more = !reads || source.read_some(most);
     let read = source.rx.len() - before;
     let blocked = pour(source, sink, decoder, framing, keep)?;
-    Ok(Passed { read, more, blocked })
+    Ok(Passed { read, more, blocked, full: source.rx.room() == 0 })
 }
 
 /// The status that tells a client what is wrong with its body.
@@ -305,7 +306,11 @@
         let Some([client, server]) = net.pair(exchange.client, server) else { return 0 };
         if !server.come_up() {
             let held = client.rx.len() + server.tx.len();
-            self.flow.moved(turn, Moved { more: true, held, blocked: true, ..Moved::default() }, now);
+            self.flow.moved(
+                turn,
+                Moved { more: true, held, blocked: true, full: true, ..Moved::default() },
+                now,
+            );
             return 0;
         }
         let sent = server.sent;
@@ -328,7 +333,7 @@
                 });
             },
         );
-        let Passed { read, more, blocked } = match passed {
+        let Passed { read, more, blocked, full } = match passed {
             Ok(passed) => passed,
             Err(error) => {
                 let (status, _) = status_of(error);
@@ -342,7 +347,7 @@
         let held = server.tx.len() + piped + if done { 0 } else { client.rx.len() };
         let (gone, ended, deaf) = (client.broken, client.eof, server.mute);
         self.counters.up += taken as u64;
-        self.flow.moved(turn, Moved { read, more, taken, held, blocked }, now);
+        self.flow.moved(turn, Moved { read, more, taken, held, blocked, full }, now);
         if gone {
             self.client_gone(net, stream);
         } else if deaf {
@@ -398,7 +403,7 @@
         let done = exchange.decoder.is_done();
         let held = prefix.len() + if done { 0 } else { conn.rx.len() };
         let (broken, ended) = (conn.broken, conn.eof);
-        self.flow.moved(turn, Moved { read, more, taken: 0, held, blocked: false }, now);
+        self.flow.moved(turn, Moved { read, more, held, ..Moved::default() }, now);
         if let Some(error) = error {
             let (status, _) = status_of(error);
             self.refuse(net, stream, status, 0.0);
@@ -479,7 +484,7 @@
             turn.read,
             |_| (),
         );
-        let Ok(Passed { read, more, mut blocked }) = passed else {
+        let Ok(Passed { read, more, mut blocked, full }) = passed else {
             self.attempt_over(net, stream, Outcome::Error);
             return 0;
         };
@@ -494,7 +499,7 @@
         let held = client.tx.len() + piped + if done { 0 } else { server.rx.len() };
         let (gone, ended) = (client.mute || client.broken, server.eof || server.broken);
         self.counters.down += taken as u64;
-        self.flow.moved(turn, Moved { read, more, taken, held, blocked }, now);
+        self.flow.moved(turn, Moved { read, more, taken, held, blocked, full }, now);
         if gone {
             self.client_gone(net, stream);
         } else if done {
