Pass the list and what was learned to the new process of an upgrade

Cause: the new process began with the list of its configuration, which may be old, and without warmth, paces and rests: what the old one was told of drains counts as told to both, since the two are one dispatcher. Change: at the first word over the link the old process leaves a file in TMPDIR (postcard, version, CRC-32C, written whole by a rename, believed for 10 s and of that process and those settings alone), which the new one reads before it says that it is ready; torn, stale, foreign or missing costs one line and a cold start. Not taken: writing it all the time, or at SIGTERM, when the new process has said yes already. Checked: without the list handed on, the story of the drain told to the old process fails; a memory cut at every byte or changed in any is refused.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::Dispatcher;
 use crate::api::{Action, Event, Micros, Outcome, Report, WorkerId};
+use crate::learned::Learned;
 use crate::settings::Site;
 use crate::telemetry::{Gauges, Telemetry};
 
@@ -231,6 +232,21 @@
         &self.site
     }
 
+    /// What the module has learned.
+    pub fn learned(&self) -> Learned {
+        self.module.learned()
+    }
+
+    /// Takes over the list and what was learned of a process that this one replaces. The list only where none has
+    /// been read here; false where what was learned cannot be true here.
+    pub fn recall(&mut self, lines: Vec<Line>, learned: Learned) -> bool {
+        if self.counters.lists == 0 {
+            let members = self.table.apply(lines, true);
+            stages::route::drive(self, Event::List(&members));
+        }
+        self.module.recall(micros(self.clock.now()), learned)
+    }
+
     /// The clock.
     pub fn clock(&self) -> &Clock {
         &self.clock
--- a/src/front/handover.rs
+++ b/src/front/handover.rs
@@ -51,6 +51,24 @@
     std::fs::rename(&temporary, path)
 }
 
+/// Leaves what a process that replaces this one is to know: whole or not at all. Not synced: it is for a process
+/// that runs beside this one.
+pub fn leave_memory(note: &Path, pid: u32, bytes: &[u8]) -> std::io::Result<()> {
+    let temporary = note.with_extension(format!("memory.{pid}"));
+    std::fs::write(&temporary, bytes)?;
+    std::fs::rename(&temporary, note.with_extension("memory"))
+}
+
+/// What was left, up to a bound. It is taken away: nobody else is to believe it.
+pub fn take_memory(note: &Path, most: usize) -> std::io::Result<Vec<u8>> {
+    use std::io::Read;
+    let path = note.with_extension("memory");
+    let mut bytes = Vec::new();
+    std::fs::File::open(&path)?.take(most as u64).read_to_end(&mut bytes)?;
+    let _ = std::fs::remove_file(&path);
+    Ok(bytes)
+}
+
 /// Whether another process that is alive left its note there after `since`. A note that does not read is named
 /// in the log, once, and counts as none.
 pub fn successor(path: &Path, own: u32, since: u64) -> bool {
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -323,6 +323,9 @@
                 if let Some(client) = self.clients.conns.get_mut(&id) {
                     (client.calls_back, client.link, client.usual) = (true, true, true);
                 }
+                if message.header(seam::MEMORY) == Some("wanted") {
+                    self.leave_memory();
+                }
                 self.reply(net, id, 204, &[], b"", close);
                 if let Some(pid) = message.header(seam::ASKED) {
                     self.met(net, pid);
--- a/src/front/platform/seam.rs
+++ b/src/front/platform/seam.rs
@@ -8,7 +8,10 @@
 use std::path::PathBuf;
 
 use super::Platform;
+use crate::api::{Member, MemberState, WorkerId};
+use crate::core::{Line, Server};
 use crate::front::{Sockets, handover};
+use crate::lifecycle::memory::{LONGEST, Listed, Memory};
 use crate::lifecycle::seam::{Call, Seam, Step};
 use crate::net::ConnId;
 use crate::net::http::{self, Message};
@@ -16,6 +19,8 @@
 /// Header in which a process names itself, and in which a call that is passed on names who has been asked.
 pub(super) const PROCESS: &str = "Lb-Process";
 pub(super) const ASKED: &str = "lb-asked";
+/// Header by which the process that replaces another asks for its memory.
+pub(super) const MEMORY: &str = "lb-memory";
 /// How long a process may take to answer on a link, in milliseconds.
 const PATIENCE: f64 = 1000.0;
 /// Least time between two looks at the note, in milliseconds.
@@ -45,11 +50,21 @@
     look: f64,
     /// Call-backs that another process has taken.
     passed: u64,
+    /// The process that this one replaces, until its memory has been read.
+    before: Option<u32>,
 }
 
 impl Links {
     pub fn new(address: SocketAddr, note: PathBuf) -> Links {
-        Links { seam: Seam::new(std::process::id()), address, note, links: Vec::new(), look: 0.0, passed: 0 }
+        Links {
+            seam: Seam::new(std::process::id()),
+            address,
+            note,
+            links: Vec::new(),
+            look: 0.0,
+            passed: 0,
+            before: None,
+        }
     }
 
     pub fn owns(&self, conn: ConnId) -> bool {
@@ -66,13 +81,15 @@
     pub fn join(&mut self, net: &mut Sockets, address: SocketAddr, note: PathBuf, before: Option<u32>) {
         let mut links = Links::new(address, note);
         let first = before.and_then(|pid| links.seam.meet(pid));
+        links.before = before;
         self.links = Some(links);
         self.follow(net, first.into_iter().collect());
     }
 
     /// Whether the seam is settled, so that the process beside may stop listening.
     pub fn joined(&self) -> bool {
-        self.links.as_ref().is_none_or(|l| l.seam.settled())
+        let open = |l: &Links, pid| !l.seam.settled() || l.links.iter().any(|k| k.pid == pid && !k.greeted);
+        self.links.as_ref().is_none_or(|l| l.before.is_none_or(|pid| !open(l, pid)))
     }
 
     /// Call-backs that reached this process and were taken by another.
@@ -196,6 +213,9 @@
         let pid = link.pid;
         let steps = if link.up && !std::mem::replace(&mut link.greeted, true) {
             (link.out, link.until) = (link.out.saturating_sub(1), now + PATIENCE);
+            if links.before.take_if(|before| *before == pid).is_some() {
+                self.remember(pid);
+            }
             Vec::new()
         } else if link.up {
             (link.out, link.until) = (link.out.saturating_sub(1), now + PATIENCE);
@@ -213,7 +233,12 @@
                 net.close(id);
             } else {
                 // The other side learns that this connection is a link, before it closes idle ones.
-                let headers = [("Host", links.address.to_string()), (ASKED, links.seam.own().to_string())];
+                let wants = if links.before == Some(pid) { "wanted" } else { "" };
+                let headers = [
+                    ("Host", links.address.to_string()),
+                    (ASKED, links.seam.own().to_string()),
+                    (MEMORY, wants.to_string()),
+                ];
                 link.out += 1;
                 net.write(id, &http::ask("GET", "/v1/seam", &headers, None));
                 link.until = now + PATIENCE;
@@ -223,6 +248,57 @@
         self.follow(net, steps);
     }
 
+    /// Names by which what was learned is counted.
+    fn names(&self) -> Vec<String> {
+        let site = self.core.site();
+        let grades = site.grades.iter().map(|g| &g.name);
+        grades.chain(&site.kinds).chain(&site.zones).cloned().collect()
+    }
+
+    /// Leaves what this process knows for the one that replaces it.
+    pub(super) fn leave_memory(&self) {
+        let Some(links) = &self.links else { return };
+        let listed = |s: &&Server| {
+            let Line { name, address, member } = s.line.clone();
+            let Member { kind, zone, cell, size, born, state, .. } = member;
+            let draining = state != MemberState::Ready;
+            Listed { name, address, kind, zone, cell, size, born, draining }
+        };
+        let memory = Memory {
+            pid: links.seam.own(),
+            at: self.core.clock().now(),
+            names: self.names(),
+            lines: self.core.table().listed().iter().map(listed).collect(),
+            learned: self.core.learned(),
+        };
+        if let Err(e) = handover::leave_memory(&links.note, memory.pid, &memory.encode()) {
+            crate::say(format_args!("the next process starts cold: {e}"));
+        }
+    }
+
+    /// Takes over what the process before has left. What is not there or not believed costs one line.
+    fn remember(&mut self, pid: u32) {
+        let Some(links) = &self.links else { return };
+        let read = handover::take_memory(&links.note, LONGEST).map_err(|e| e.to_string());
+        let now = self.core.clock().now();
+        let memory =
+            read.and_then(|bytes| Memory::decode(&bytes, pid, &self.names(), now).map_err(|e| e.to_string()));
+        let recalled = memory.map(|memory| {
+            let line = |l: Listed| {
+                let state = if l.draining { MemberState::Draining } else { MemberState::Ready };
+                let Listed { name, address, kind, zone, cell, size, born, .. } = l;
+                let member = Member { worker: WorkerId(0), kind, zone, cell, size, born, state };
+                Line { name, address, member }
+            };
+            self.core.recall(memory.lines.into_iter().map(line).collect(), memory.learned)
+        });
+        match recalled {
+            Ok(true) => {}
+            Ok(false) => crate::say("a cold start: what the process before has learned cannot be true here"),
+            Err(e) => crate::say(format_args!("a cold start, without what the process before knows: {e}")),
+        }
+    }
+
     fn drop_link(&mut self, net: &mut Sockets, id: ConnId) {
         net.close(id);
         let Some(links) = &mut self.links else { return };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod flow;
 pub mod front;
 pub mod json;
+pub mod learned;
 pub mod ledger;
 pub mod lifecycle;
 mod logic;
--- /dev/null
+++ b/src/lifecycle/memory.rs
@@ -0,0 +1,176 @@
+//! What a process leaves to the one that replaces it, as bytes: the list that it holds and what it has learned.
+//!
+//! ```text
+//! 0   8  magic, "micamem\n"
+//! 8   2  version, little-endian
+//! 10  4  length of the payload
+//! 14  4  CRC-32C of the payload
+//! 18  …  payload: `Memory` by postcard
+//! ```
+//!
+//! A file that is torn, too old, of another process or settings, or of a version that this program does not know is
+//! no memory: the process starts cold.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::learned::Learned;
+
+const MAGIC: &[u8; 8] = b"micamem\n";
+/// The version that is written, and the only one that is read.
+pub const VERSION: u16 = 1;
+/// Bytes before the payload.
+const HEAD: usize = 18;
+/// Longest file that is read.
+pub const LONGEST: usize = 1 << 20;
+/// Age from which it is not believed, in milliseconds: what the list said then may be undone.
+const OLDEST: f64 = 10_000.0;
+
+/// A line of the list: what a front needs to find a server, and what the module is told of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// Where it is.
+    pub address: String,
+    /// Its kind.
+    pub kind: u16,
+    /// Its zone.
+    pub zone: u16,
+    /// Its cell.
+    pub cell: u32,
+    /// Its size.
+    pub size: f64,
+    /// When it last started, in microseconds; 0: long ago.
+    pub born: u64,
+    /// It finishes what it has.
+    pub draining: bool,
+}
+
+/// What is left.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Memory {
+    /// The process that left it.
+    pub pid: u32,
+    /// When, in milliseconds since the Unix epoch.
+    pub at: f64,
+    /// Names of classes, kinds and zones, by which what was learned is counted.
+    pub names: Vec<String>,
+    /// The list.
+    pub lines: Vec<Listed>,
+    /// What was learned.
+    pub learned: Learned,
+}
+
+/// Why bytes are no memory.
+#[derive(Debug, PartialEq, Eq, Error)]
+pub enum MemoryError {
+    /// Not of this form.
+    #[error("it is no memory of a process")]
+    Foreign,
+    /// Of a version that this program does not read.
+    #[error("it is of version {0}; this program reads {VERSION}")]
+    Version(u16),
+    /// Cut or damaged.
+    #[error("it is damaged")]
+    Damaged,
+    /// Too old, or from the future.
+    #[error("it is {0} ms old")]
+    Stale(i64),
+    /// Of a process that is not the one replaced, or under other settings.
+    #[error("it is of another process or of other settings")]
+    Other,
+}
+
+impl Memory {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        // Into a vector nothing can fail to fit.
+        let payload = postcard::to_stdvec(self).unwrap_or_default();
+        let mut bytes = MAGIC.to_vec();
+        bytes.extend(VERSION.to_le_bytes());
+        bytes.extend((payload.len() as u32).to_le_bytes());
+        bytes.extend(crc32c::crc32c(&payload).to_le_bytes());
+        bytes.extend(payload);
+        bytes
+    }
+
+    /// Reads what the process `pid` has left under the same names, at `now`.
+    pub fn decode(bytes: &[u8], pid: u32, names: &[String], now: f64) -> Result<Memory, MemoryError> {
+        let (head, payload) = bytes.split_at_checked(HEAD).ok_or(MemoryError::Damaged)?;
+        if &head[..8] != MAGIC {
+            return Err(MemoryError::Foreign);
+        }
+        let version = u16::from_le_bytes([head[8], head[9]]);
+        if version != VERSION {
+            return Err(MemoryError::Version(version));
+        }
+        let word = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        if word(10) as usize != payload.len() || word(14) != crc32c::crc32c(payload) {
+            return Err(MemoryError::Damaged);
+        }
+        let Ok((memory, [])) = postcard::take_from_bytes::<Memory>(payload) else {
+            return Err(MemoryError::Damaged);
+        };
+        if memory.pid != pid || memory.names != names {
+            return Err(MemoryError::Other);
+        }
+        let age = now - memory.at;
+        if !(-1000.0..=OLDEST).contains(&age) {
+            return Err(MemoryError::Stale(age as i64));
+        }
+        Ok(memory)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Dispatcher;
+    use crate::api::Settings;
+    use proptest::prelude::*;
+
+    fn memory() -> Memory {
+        let line = Listed {
+            name: "s-1".into(),
+            address: "127.0.0.1:1".into(),
+            kind: 0,
+            zone: 0,
+            cell: 0,
+            size: 1.0,
+            born: 5,
+            draining: true,
+        };
+        let learned = Dispatcher::new(Settings::default(), 1).learned();
+        Memory { pid: 7, at: 1_000.0, names: vec!["a".into()], lines: vec![line], learned }
+    }
+
+    #[test]
+    fn only_whole_fresh_memory_of_the_process_replaced_is_believed() {
+        let (memory, names) = (memory(), ["a".to_string()]);
+        let bytes = memory.encode();
+        assert_eq!(Memory::decode(&bytes, 7, &names, 1_500.0), Ok(memory));
+        assert_eq!(Memory::decode(&bytes, 8, &names, 1_500.0), Err(MemoryError::Other));
+        assert_eq!(Memory::decode(&bytes, 7, &[], 1_500.0), Err(MemoryError::Other));
+        assert_eq!(Memory::decode(&bytes, 7, &names, 20_000.0), Err(MemoryError::Stale(19_000)));
+        assert_eq!(Memory::decode(&bytes, 7, &names, -9_000.0), Err(MemoryError::Stale(-10_000)));
+        for cut in 0..bytes.len() {
+            assert!(Memory::decode(&bytes[..cut], 7, &names, 1_500.0).is_err(), "cut at {cut}");
+        }
+        let mut newer = bytes.clone();
+        newer[8] = 2;
+        assert_eq!(Memory::decode(&newer, 7, &names, 1_500.0), Err(MemoryError::Version(2)));
+        assert_eq!(Memory::decode(&[b'x'; 64], 7, &names, 1_500.0), Err(MemoryError::Foreign));
+    }
+
+    proptest! {
+        /// Whatever the bytes, one that was changed is never believed, and nothing panics.
+        #[test]
+        fn a_changed_byte_is_seen(at in 0usize..64, flip in 1u8..) {
+            let mut bytes = memory().encode();
+            let at = at % bytes.len();
+            bytes[at] ^= flip;
+            prop_assert!(Memory::decode(&bytes, 7, &["a".to_string()], 1_500.0).is_err());
+        }
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,28 +52,28 @@
 pub struct Dispatcher {
     settings: Settings,
     rng: fastrand::Rng,
-    workers: Vec<Worker>,
-    index: FxHashMap<WorkerId, usize>,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) index: FxHashMap<WorkerId, usize>,
     /// The first is over workers of all kinds.
     cycles: Vec<Cycle>,
     jobs: FxHashMap<JobId, Pending>,
     wakes: BinaryHeap<Reverse<(Micros, Wake)>>,
     armed: Micros,
     /// Running median of how long a probe takes, by zone.
-    prompt: Vec<f64>,
+    pub(crate) prompt: Vec<f64>,
     /// Running mean of how long a job runs: of attempts that met a free slot.
-    run: f64,
+    pub(crate) run: f64,
     /// Running mean of the work of a job, by class, where clients do not tell.
-    usual: Vec<f64>,
+    pub(crate) usual: Vec<f64>,
     /// How long a unit of work takes anywhere, and running mean of the wait beyond that for own attempts.
-    pace: Pace,
-    lag: f64,
-    seen: Micros,
+    pub(crate) pace: Pace,
+    pub(crate) lag: f64,
+    pub(crate) seen: Micros,
     /// Running mean of how far workers are past k.
-    typical: f64,
+    pub(crate) typical: f64,
     /// Running mean of jobs held, to size.
-    pressure: f64,
-    kinds: Vec<Kind>,
+    pub(crate) pressure: f64,
+    pub(crate) kinds: Vec<Kind>,
     /// Jobs held here as all workers met were too far past k, by the time they came.
     held: BTreeSet<(Micros, JobId)>,
     call_failures: u32,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! What a dispatcher remembers: of workers, kinds, cycles, jobs and attempts. What follows from it is decided
 //! in `src/logic.rs`.
 
+use serde::{Deserialize, Serialize};
+
 use crate::api::*;
 
 #[derive(Default)]
@@ -88,7 +90,7 @@
 }
 
 /// How long runs took, against the work that they were expected to be.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Pace {
     run: f64,
     work: f64,
@@ -99,6 +101,11 @@
     /// slowed down shows.
     const FADES: f64 = 0.95;
 
+    /// Whether it can come of runs.
+    pub fn holds(&self) -> bool {
+        [self.run, self.work].iter().all(|f| f.is_finite() && *f >= 0.0)
+    }
+
     /// Takes in one run.
     pub fn add(&mut self, run: f64, work: f64) {
         (self.run, self.work) = (self.run * Pace::FADES + run, self.work * Pace::FADES + work);
@@ -111,7 +118,7 @@
 }
 
 /// What is known of the workers of one kind.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Kind {
     /// Slots of each, as far as reports have shown, or own jobs that ran at once.
     pub slots: f64,
@@ -123,6 +130,12 @@
 }
 
 impl Kind {
+    /// Whether it can come of reports and runs.
+    pub fn holds(&self) -> bool {
+        let figures = [self.slots, self.nominal, self.held, self.held_a_core];
+        figures.iter().all(|f| f.is_finite() && *f >= 0.0) && self.pace.holds()
+    }
+
     /// Takes in a live size: the nominal one over 1 + requests held a core. The highest seen is nominal, and beside
     /// a report of what the worker holds it tells its cores. Returns the nominal size.
     pub fn live(&mut self, size: f64, held: Option<f64>) -> f64 {
--- a/tests/blind.rs
+++ b/tests/blind.rs
@@ -249,3 +249,33 @@
     assert!(before.jobs > 0.0 && sums.sent - sums.jobs < 0.2 * sums.jobs, "sent in vain: {sums:?}");
     assert!(sums.in_time > 0.85 * sums.jobs, "{sums:?}");
 }
+
+/// At an upgrade: a worker that fails rests on in the new process, and what cannot be true of its classes is refused.
+#[test]
+fn what_a_dispatcher_has_learned_goes_on_in_the_next_one() {
+    let mut old = World::new(blind(), &fleet(2));
+    for _ in 0..12 {
+        old.now += 10 * MS;
+        let (job, actions) = old.job(2);
+        if let Some(worker) = sent(&actions) {
+            let outcome = if worker == WorkerId(1) { Outcome::Error } else { Outcome::Served };
+            old.ended(job, 0, worker, outcome);
+        }
+    }
+    assert!(old.dispatcher.avoids(old.now, WorkerId(1)));
+    let learned = old.dispatcher.learned();
+    let mut new = World::new(blind(), &fleet(2));
+    assert!(!new.dispatcher.avoids(old.now, WorkerId(1)));
+    assert!(new.dispatcher.recall(old.now, learned.clone()));
+    assert!(new.dispatcher.avoids(old.now, WorkerId(1)) && !new.dispatcher.avoids(old.now, WorkerId(2)));
+    // One that has started anew is not the one that failed.
+    let born = Member { born: old.now, ..member(1, 1.0) };
+    let mut renewed = World::new(blind(), &[born, member(2, 1.0)]);
+    assert!(renewed.dispatcher.recall(old.now, learned.clone()));
+    assert!(!renewed.dispatcher.avoids(old.now, WorkerId(1)));
+    let mut fewer = blind();
+    fewer.classes.pop();
+    let mut other = World::new(fewer, &fleet(2));
+    assert!(!other.dispatcher.recall(old.now, learned), "of other classes");
+    assert!(!other.dispatcher.avoids(old.now, WorkerId(1)));
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -224,3 +224,62 @@
     assert_eq!(none.call_at(&alone, "b", "s"), "204");
     assert_eq!(served(&mut client), "s");
 }
+
+/// The new process begins with the list of its configuration, which may be old, and its own discovery may be slow.
+#[test]
+fn the_new_process_knows_the_drains_that_the_old_one_was_told() {
+    let mut site = Site::new();
+    let ((drained, other), (lists, discovery)) = (listener(), listener());
+    let dial = site.worker.local_addr().unwrap();
+    site.config = config(256, discovery, &[("s-1", dial), ("s-2", other)])
+        .replacen('{', r#"{"console": "127.0.0.1:0", "#, 1)
+        .replace(r#""listen": "127.0.0.1:0""#, &format!(r#""listen": "{}""#, site.address));
+    let (old, _) = site.start();
+    let mut watch = Http::accept(&lists);
+    watch.read();
+    let body = format!(
+        r#"{{"seq": 9, "whole": true, "hosts": [{}, {}]}}"#,
+        host("s-1", dial, "up"),
+        host("s-2", other, "draining")
+    );
+    watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    let end = Instant::now() + PATIENCE;
+    while counter_of(&site, &old, "lists") == 0 {
+        assert!(Instant::now() < end);
+    }
+    let (new, _) = site.start();
+    for n in 0..6 {
+        let id = format!("d{n}");
+        let mut client = site.client(&new);
+        client.submit("confirm-booking", &id);
+        let mut job = Http::over(accept_any(&[&site.worker, &drained]));
+        assert!(job.read().0.contains(&id));
+        assert_eq!(job.0.get_ref().local_addr().unwrap(), dial, "s-2 was told to drain");
+        job.take();
+        assert_eq!(site.call_at(&new, &id, "r"), "204");
+        assert_eq!(served(&mut client), "r");
+    }
+}
+
+/// A counter of one of the processes.
+fn counter_of(site: &Site, process: &Program, name: &str) -> u64 {
+    let mut http = site.client(process);
+    http.write("GET /counters HTTP/1.1\r\nHost: a\r\n\r\n");
+    let text = http.read().1;
+    told(&text, name)
+}
+
+/// No room for what the old process knows: the new one says so once, starts cold, and serves.
+#[test]
+fn what_the_old_process_cannot_leave_costs_one_line() {
+    let site = Site::new();
+    let (old, _) = site.start();
+    let note = std::fs::read_dir(&site.notes).unwrap().filter_map(|e| Some(e.ok()?.path()));
+    let note = note.into_iter().find(|p| p.extension().is_some_and(|e| e == "handover")).unwrap();
+    std::fs::create_dir_all(note.with_extension("memory").join("full")).unwrap();
+    let (mut new, _) = site.start();
+    assert!(new.line().contains("a cold start"));
+    let mut client = site.job(&new, "a");
+    assert_eq!(site.call_at(&old, "a", "r"), "204");
+    assert_eq!(served(&mut client), "r");
+}
