--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -155,6 +155,8 @@
     let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
     let probe = |http: &mut Http| {
         assert!(http.read().0.starts_with("GET /metrics/load "));
+        // Probes of the same length: one that takes twice as long as the last shows a slow server, and is asked again.
+        std::thread::sleep(std::time::Duration::from_millis(20));
         http.write("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=2");
     };
     client.submit("confirm-booking", "p1");
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -283,3 +283,28 @@
     assert_eq!(site.call_at(&old, "a", "r"), "204");
     assert_eq!(served(&mut client), "r");
 }
+
+/// Both are terminated at once: what each has taken still gets its answer, wherever its call-back arrives.
+#[test]
+fn two_processes_that_are_terminated_at_once_finish_what_they_have() {
+    let site = Site::new();
+    let (old, _) = site.start();
+    let mut first = site.job(&old, "a");
+    let (new, _) = site.start();
+    let mut second = site.job(&new, "b");
+    let mut caller = site.client(&new);
+    old.signal("TERM");
+    new.signal("TERM");
+    // One caller at the new process has both: the link to the old one stands though that one has stopped listening.
+    assert_eq!(call(&mut caller, "a", "r"), "204");
+    assert_eq!(served(&mut first), "r");
+    assert_eq!(call(&mut caller, "b", "s"), "204");
+    assert_eq!(served(&mut second), "s");
+    drop((first, second, caller));
+    for process in [old, new] {
+        let (well, log) = process.wait();
+        assert!(well, "{log}");
+        all_ended(&log);
+        assert_eq!(told(&log, "served"), 1, "{log}");
+    }
+}
