Upgrade rig: a full disk and both terminated at once; story of cold budgets over both

Change: what the new one's note and the old one's memory are written to can be /dev/full; both can get SIGTERM, after which a third is started; the cold story replaces all twenty dispatchers twice. The rig builds the workspace once instead of flipping its features.

--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -29,12 +29,12 @@
 /// Ticks a second in which the system tells processor time; fixed at 100 for what it shows to programs.
 const TICKS: f64 = 100.0;
 
-/// Builds the program as a release and gives its path. It costs nothing where that was done before.
+/// Builds the program as a release and gives its path. It costs nothing where the workspace was built before.
 pub fn build() -> Result<PathBuf, RigError> {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("..");
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
-    command.args(["build", "--release", "--locked", "--quiet", "-p", "micabeam", "--bin", "micabeam"]);
+    command.args(["build", "--release", "--locked", "--quiet", "--workspace"]);
     let built = tried("cargo build", command.current_dir(&root).status())?;
     if !built.success() {
         return Err(RigError::Program("it does not build".into()));
--- a/rig/src/upgrade.rs
+++ b/rig/src/upgrade.rs
@@ -41,9 +41,13 @@
     Torn,
     /// A note cannot be left.
     NoRoom,
+    /// The disk is full: neither the new one's note nor the old one's memory can be written.
+    Full,
+    /// Both are terminated at once, and another is started when they have ended.
+    Both,
 }
 
-const FAULTS: [Fault; 8] = [
+const FAULTS: [Fault; 10] = [
     Fault::None,
     Fault::NewDiesBefore,
     Fault::NewDiesAfter,
@@ -52,6 +56,8 @@
     Fault::Third,
     Fault::Torn,
     Fault::NoRoom,
+    Fault::Full,
+    Fault::Both,
 ];
 
 /// A small generator: the same faults and jobs for a seed on every machine (splitmix64).
@@ -94,8 +100,10 @@
     pub killed: u64,
     /// Jobs that may not run twice and did.
     pub unsafe_ran_twice: u64,
-    /// Jobs that met a refused or reset connection.
+    /// Jobs that met a refused or reset connection while a process was there.
     pub refused_at_seam: u64,
+    /// Connections refused after both processes were terminated.
+    pub nobody_there: u64,
     /// Call-backs that reached one process and were taken by the other.
     pub callbacks_other: u64,
     /// Jobs that came to a draining worker too late.
@@ -107,7 +115,7 @@
     pub fn line(&self) -> String {
         format!(
             "rounds={} jobs={} served={} answered_twice={} unanswered={} killed={} unsafe_ran_twice={} \
-             refused_at_seam={} callbacks_other={} late_drains={}",
+             refused_at_seam={} nobody_there={} callbacks_other={} late_drains={}",
             self.rounds,
             self.jobs,
             self.served,
@@ -116,6 +124,7 @@
             self.killed,
             self.unsafe_ran_twice,
             self.refused_at_seam,
+            self.nobody_there,
             self.callbacks_other,
             self.late_drains
         )
@@ -144,6 +153,8 @@
     address: SocketAddr,
     dials: Vec<SocketAddr>,
     over: AtomicBool,
+    /// Both processes were terminated, and no other serves yet.
+    deserted: AtomicBool,
     /// Runs of each job.
     runs: Mutex<HashMap<String, u32>>,
     /// When a process was killed.
@@ -314,15 +325,20 @@
         );
         let began = Instant::now();
         // A kept connection may have been closed between requests: the job goes once more on a new one.
-        let mut end = None;
+        let (mut end, mut came_up) = (None, false);
         for _ in 0..3 {
             let kept = conn.is_some();
+            let deserted = world.deserted.load(Ordering::Relaxed);
             let Some(mut http) = conn.take().or_else(|| Http::connect(world.address, DEADLINE * 2).ok())
             else {
-                held(&world.figures).refused_at_seam += 1;
+                let mut figures = held(&world.figures);
+                let deserted = deserted || world.deserted.load(Ordering::Relaxed);
+                *(if deserted { &mut figures.nobody_there } else { &mut figures.refused_at_seam }) += 1;
+                drop(figures);
                 thread::sleep(Duration::from_millis(50));
                 continue;
             };
+            came_up = true;
             if kept && !http.0.buffer().is_empty() {
                 held(&world.figures).answered_twice += 1;
             }
@@ -339,7 +355,10 @@
                         && !held(&world.runs).contains_key(&id)
                         && !killed(world, began) =>
                 {
-                    held(&world.figures).refused_at_seam += u64::from(!kept);
+                    let count = u64::from(!kept);
+                    let mut figures = held(&world.figures);
+                    *(if deserted { &mut figures.nobody_there } else { &mut figures.refused_at_seam }) +=
+                        count;
                 }
                 Err(e) => {
                     if !killed(world, began) {
@@ -350,6 +369,9 @@
             }
         }
         let mut figures = held(&world.figures);
+        if !came_up && world.deserted.load(Ordering::Relaxed) {
+            continue;
+        }
         figures.jobs += 1;
         match end {
             Some((200, true)) => figures.served += 1,
@@ -372,9 +394,13 @@
 }
 
 impl Process {
-    /// Starts it and waits until it listens.
-    fn start(binary: &Path, config: &Path, notes: &Path) -> Result<Process, RigError> {
-        let mut command = Command::new(binary);
+    /// Starts it and waits until it listens. On a full disk what it writes its note to has no room: the shell that
+    /// becomes it knows its id.
+    fn start(binary: &Path, config: &Path, notes: &Path, full: Option<&Path>) -> Result<Process, RigError> {
+        let mut command = Command::new(full.map_or(binary, |_| Path::new("/bin/sh")));
+        if let Some(note) = full {
+            command.args(["-c", r#"ln -s /dev/full "$0.$$" && exec "$1""#]).arg(note).arg(binary);
+        }
         for variable in ["LB_LISTEN", "LB_DISCOVERY", "LB_NAME", "LB_CONSOLE"] {
             command.env_remove(variable);
         }
@@ -503,9 +529,9 @@
     world: &World,
     old: Process,
     fault: Fault,
-    start: &dyn Fn() -> Result<Process, RigError>,
+    start: &dyn Fn(bool) -> Result<Process, RigError>,
 ) -> Result<Process, RigError> {
-    let new = start()?;
+    let new = start(fault == Fault::Full)?;
     if fault == Fault::NewDiesBefore {
         new.kill(world);
         return Ok(old);
@@ -516,7 +542,7 @@
         return Ok(old);
     }
     let new = if fault == Fault::Third {
-        let third = start()?;
+        let third = start(false)?;
         third.await_ready()?;
         new.signal("TERM")?;
         let passed = new.end(world)?;
@@ -527,6 +553,16 @@
     };
     old.signal("TERM")?;
     match fault {
+        Fault::Both => {
+            new.signal("TERM")?;
+            world.deserted.store(true, Ordering::Relaxed);
+            let passed = old.end(world)? + new.end(world)?;
+            held(&world.figures).callbacks_other += passed;
+            let next = start(false)?;
+            next.await_ready()?;
+            world.deserted.store(false, Ordering::Relaxed);
+            return Ok(next);
+        }
         Fault::OldKilled => {
             thread::sleep(Duration::from_millis(200));
             old.kill(world);
@@ -562,6 +598,7 @@
         address,
         dials: workers.iter().map(local).collect::<Result<_, _>>()?,
         over: AtomicBool::new(false),
+        deserted: AtomicBool::new(false),
         runs: Mutex::default(),
         kills: Mutex::default(),
         list: Mutex::new((1, None)),
@@ -572,8 +609,9 @@
     tried("the configuration", std::fs::write(&file, config(&world, local(&lists)?)))?;
     workers.into_iter().enumerate().for_each(|(n, l)| serve(&world, l, worker, n));
     serve(&world, lists, discovery, 0);
-    let start = || Process::start(&binary, &file, &notes);
-    let mut serving = start()?;
+    let note = micabeam::front::handover::path(&notes, address);
+    let start = |full: bool| Process::start(&binary, &file, &notes, full.then_some(note.as_path()));
+    let mut serving = start(false)?;
     serving.await_ready()?;
     let clients = (plan.rate / 4).clamp(1, 64);
     let pause = Duration::from_secs_f64(clients as f64 / plan.rate.max(1) as f64);
@@ -593,12 +631,19 @@
             *list = (list.0 + 1, (drains < WORKERS).then(|| (drains, Instant::now())));
         }
         damage(&notes, fault)?;
+        if fault == Fault::Full {
+            let memory = note.with_extension(format!("memory.{}", serving.child.id()));
+            tried("a full disk", std::os::unix::fs::symlink("/dev/full", memory))?;
+        }
         thread::sleep(Duration::from_millis(draws.below(300)));
         serving = round(&world, serving, fault, &start)?;
-        if fault == Fault::NoRoom {
+        if matches!(fault, Fault::NoRoom | Fault::Full) {
             for entry in tried("the notes", std::fs::read_dir(&notes))?.flatten() {
                 let _ = std::fs::remove_dir_all(entry.path().join("full"));
                 let _ = std::fs::remove_dir(entry.path());
+                if entry.file_type().is_ok_and(|kind| kind.is_symlink()) {
+                    let _ = std::fs::remove_file(entry.path());
+                }
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -109,23 +109,27 @@
     }
 }
 
-/// Twenty dispatchers, nine warm workers and one that has just started: what it is sent by all together, with jobs
-/// of 100 ms and four slots a worker, stays under the multiple of what it can do.
-#[test]
-fn a_cold_worker_is_not_pushed_over() {
-    let settings = Settings { dispatchers: 20, ..probing() };
-    let (multiple, from, cold) =
-        (settings.rules.fall_multiple, settings.rules.cold_from, settings.rules.cold as f64);
+/// Twenty dispatchers, nine warm workers and one that has just started, jobs of 100 ms and four slots a worker, 300
+/// jobs a second: 83% of what nine warm workers can do. At each of `upgrades` every dispatcher is replaced: its new
+/// process recalls what the old one knows, and both get half of its jobs for a second. When the cold worker was sent
+/// its jobs.
+fn sends_to_a_cold_worker(settings: &Settings, upgrades: &[Micros]) -> Vec<Micros> {
     let start = 100 * SECOND;
     let mut members = fleet(9);
     members.push(Member { born: start, ..member(10, 1.0) });
-    let mut worlds: Vec<World> =
-        (0..20).map(|number| World::new(Settings { number, ..settings.clone() }, &members)).collect();
+    let world = |number| World::new(Settings { number, ..settings.clone() }, &members);
+    let mut worlds: Vec<World> = (0..20).map(world).collect();
     let mut sends: Vec<Micros> = Vec::new();
     let mut ending: Vec<(Micros, usize, JobId, WorkerId)> = Vec::new();
-    // 300 jobs a second, 83% of what nine warm workers can do.
     for tick in 0..10_000u64 {
         let now = start + tick * MS;
+        if upgrades.contains(&(tick * MS)) {
+            for at in worlds.len() - 20..worlds.len() {
+                let mut new = world(at as u32 % 20);
+                assert!(new.dispatcher.recall(now, worlds[at].dispatcher.learned()));
+                worlds.push(new);
+            }
+        }
         let over: Vec<_> = ending.iter().copied().filter(|e| e.0 <= now).collect();
         ending.retain(|e| e.0 > now);
         for (_, at, job, worker) in over {
@@ -133,24 +137,55 @@
             let mut actions = worlds[at].ended(job, 0, worker, Outcome::Served);
             follow(&mut worlds[at], at, &mut actions, &mut sends, &mut ending);
         }
+        let last = worlds.len() - 20;
+        let both = upgrades.iter().any(|&u| (u..u + SECOND).contains(&(tick * MS)));
         for (at, world) in worlds.iter_mut().enumerate() {
             world.now = now;
             let mut actions = world.handle(Event::Wake);
-            if (tick * 7 + at as u64 * 13).is_multiple_of(67) {
+            let mine = at >= last || both && at + 20 >= last;
+            let turn = tick * 7 + at as u64 % 20 * 13;
+            let half = !both || (turn / 67).is_multiple_of(2) == (at >= last);
+            if mine && half && turn.is_multiple_of(67) {
                 actions.extend(world.job(0).1);
             }
             follow(world, at, &mut actions, &mut sends, &mut ending);
         }
     }
+    sends
+}
+
+/// Whether the rule holds: no second holds more than the multiple of what the worker can do by then.
+fn keeps_the_cold_rule(settings: &Settings, sends: &[Micros]) {
+    let (multiple, from, cold) =
+        (settings.rules.fall_multiple, settings.rules.cold_from, settings.rules.cold as f64);
     assert!(sends.len() > 20, "it is used: {} jobs", sends.len());
     for (at, &first) in sends.iter().enumerate() {
         let within = sends[at..].iter().take_while(|&&t| t < first + SECOND).count() as f64;
-        let warmth = from + (1.0 - from) * (first - start) as f64 / cold;
+        let warmth = from + (1.0 - from) * (first - 100 * SECOND) as f64 / cold;
         let limit = multiple * warmth * 40.0;
         assert!(within <= limit + 2.0, "{within} jobs in a second against {limit}");
     }
 }
 
+/// What all together send to a worker that warms up stays under the multiple of what it can do.
+#[test]
+fn a_cold_worker_is_not_pushed_over() {
+    let settings = Settings { dispatchers: 20, ..probing() };
+    keeps_the_cold_rule(&settings, &sends_to_a_cold_worker(&settings, &[]));
+}
+
+/// Two processes of one dispatcher at an upgrade stay within the rule together. A new one that is given a job more than
+/// the old one has left breaks it.
+#[test]
+fn upgrades_of_all_dispatchers_do_not_push_a_cold_worker_over() {
+    let settings = Settings { dispatchers: 20, ..probing() };
+    let alone = sends_to_a_cold_worker(&settings, &[]);
+    let upgraded = sends_to_a_cold_worker(&settings, &[SECOND, 3 * SECOND]);
+    keeps_the_cold_rule(&settings, &upgraded);
+    let by = |sends: &[Micros]| sends.iter().filter(|&&t| t < 106 * SECOND).count();
+    assert!(by(&upgraded) <= by(&alone) * 12 / 10, "{} jobs against {}", by(&upgraded), by(&alone));
+}
+
 /// Answers probes with two free slots and lets jobs end after 100 ms.
 fn follow(
     world: &mut World,
