Zones: evidence, the leader's decision, and what a dispatcher does with it

Cause: failover between zones is to be decided in common, with traffic near while that is safe. Change: src/zones, free of I/O: sums by the quarter second, verdicts that one cut cable cannot bring about, closing only where half of the slots stay open, spill by free capacity, refusal at home where nobody has room, a rising share on return, and a follower that never opens alone what was closed in common. Measured: 13 tests; a dead zone closes within 2.5 s of the set clock, sixty flaps in two minutes close it at most five times, all zones slow close none.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod api;
 pub mod core;
+pub mod council;
 pub mod flow;
 pub mod front;
 pub mod json;
@@ -21,5 +22,6 @@
 pub mod settings;
 mod state;
 pub mod telemetry;
+pub mod zones;
 
 pub use logic::Dispatcher;
--- /dev/null
+++ b/src/zones/evidence.rs
@@ -0,0 +1,281 @@
+//! Evidence: what each dispatcher saw the zones do, and how all of it is put together.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::MOST_ZONES;
+
+/// A dispatcher's place among the members of the operator's file.
+pub type Source = u16;
+
+/// Time of one sum, in milliseconds; a digest holds the newest `SUMS`.
+pub const STEP: f64 = 250.0;
+const SUMS: usize = 4;
+/// A digest older than this says nothing any more, in milliseconds.
+pub const FRESH: f64 = 1500.0;
+/// Fewer ends than these in a window say nothing of a zone.
+const FEW: u32 = 3;
+
+/// How a dispatch to a zone ended, as far as the zone goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was answered, whatever the answer.
+    Answered,
+    /// No connection came up, or it broke.
+    Refused,
+    /// Nothing came in time.
+    Silent,
+}
+
+/// What a dispatcher saw of a zone in its window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Dispatches that were answered.
+    pub answered: u16,
+    /// Connections that did not come up, or broke.
+    pub refused: u16,
+    /// Dispatches that met silence.
+    pub silent: u16,
+    /// Mean time to the end of those that were answered, in milliseconds.
+    pub took_ms: u16,
+    /// Dispatches that are out now.
+    pub out: u16,
+    /// Slots of its listed servers.
+    pub slots: u16,
+}
+
+impl Seen {
+    /// Whether most of what was sent there failed.
+    pub fn fails(&self) -> bool {
+        let failed = u32::from(self.refused) + u32::from(self.silent);
+        failed >= FEW && failed > u32::from(self.answered)
+    }
+
+    /// Whether what was sent there was refused, and not only unanswered, as it is by what is slow.
+    pub fn dead(&self) -> bool {
+        self.fails() && self.answered == 0 && self.refused > self.silent
+    }
+
+    /// Whether nearly all of what was sent there was answered.
+    pub fn works(&self) -> bool {
+        let failed = u32::from(self.refused) + u32::from(self.silent);
+        u32::from(self.answered) >= FEW && failed * 5 < u32::from(self.answered)
+    }
+}
+
+/// A dispatcher's sums, sent four times a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// When its process started, by its own clock.
+    pub session: u64,
+    /// Its number within the process.
+    pub number: u64,
+    /// The zone that the dispatcher is in.
+    pub zone: u16,
+    /// Requests that are open with it.
+    pub open: u16,
+    /// Requests that came in the window.
+    pub arrived: u16,
+    /// Those of them that were turned away since the zones had no room.
+    pub turned: u16,
+    /// What it saw, a zone each.
+    pub seen: Vec<Seen>,
+}
+
+impl Digest {
+    /// Requests that would be open with it if none were turned away.
+    pub fn offered(&self) -> f64 {
+        let taken = self.arrived.saturating_sub(self.turned).max(1);
+        f64::from(self.open) * f64::from(self.arrived.max(1)) / f64::from(taken)
+    }
+
+    /// Whether each zone that it tried failed it.
+    fn blind(&self) -> bool {
+        self.seen.iter().any(Seen::fails) && !self.seen.iter().any(|s| s.answered > 0)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    answered: u32,
+    refused: u32,
+    silent: u32,
+    took: f64,
+    arrived: u32,
+    turned: u32,
+}
+
+/// The sums of one dispatcher.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    session: u64,
+    number: u64,
+    own: u16,
+    /// Of each zone the newest sums, and of all the arrivals in the first.
+    sums: Vec<[Sum; SUMS]>,
+    at: usize,
+    rolled: f64,
+}
+
+impl Tally {
+    /// An empty one of a dispatcher in a zone.
+    pub fn new(own: u16, zones: usize, session: u64, now: f64) -> Tally {
+        let zones = zones.clamp(1, MOST_ZONES);
+        Tally { session, number: 0, own, sums: vec![[Sum::default(); SUMS]; zones], at: 0, rolled: now }
+    }
+
+    /// A dispatch to a zone has ended after so many milliseconds.
+    pub fn ended(&mut self, zone: usize, end: End, took: f64) {
+        let Some(sum) = self.sums.get_mut(zone).map(|sums| &mut sums[self.at]) else { return };
+        match end {
+            End::Answered => {
+                sum.answered += 1;
+                sum.took += took.max(0.0);
+            }
+            End::Refused => sum.refused += 1,
+            End::Silent => sum.silent += 1,
+        }
+    }
+
+    /// A request came, and was turned away since the zones have no room, or not.
+    pub fn arrived(&mut self, turned: bool) {
+        let sum = &mut self.sums[0][self.at];
+        sum.arrived += 1;
+        sum.turned += u32::from(turned);
+    }
+
+    /// Begins the next sum once it is time. True where it did.
+    pub fn roll(&mut self, now: f64) -> bool {
+        if now < self.rolled + STEP {
+            return false;
+        }
+        // After a long silence of this process all sums are old.
+        let steps = ((now - self.rolled) / STEP).min(SUMS as f64) as usize;
+        for _ in 0..steps {
+            self.at = (self.at + 1) % SUMS;
+            self.sums.iter_mut().for_each(|sums| sums[self.at] = Sum::default());
+        }
+        self.rolled = now;
+        true
+    }
+
+    /// What was seen of each zone in the window.
+    pub fn seen(&self, now_there: impl Fn(usize) -> (u16, u16)) -> Vec<Seen> {
+        let whole = |zone: &[Sum; SUMS], of: fn(&Sum) -> u32| zone.iter().map(of).sum::<u32>();
+        let short = |count: u32| count.min(u32::from(u16::MAX)) as u16;
+        let each = self.sums.iter().enumerate().map(|(at, zone)| {
+            let answered = whole(zone, |s| s.answered);
+            let took = zone.iter().map(|s| s.took).sum::<f64>() / f64::from(answered.max(1));
+            let (out, slots) = now_there(at);
+            Seen {
+                answered: short(answered),
+                refused: short(whole(zone, |s| s.refused)),
+                silent: short(whole(zone, |s| s.silent)),
+                took_ms: took.min(65e3) as u16,
+                out,
+                slots,
+            }
+        });
+        each.collect()
+    }
+
+    /// The next digest; `now_there` tells of a zone what is out there and how many slots are listed.
+    pub fn digest(&mut self, open: usize, now_there: impl Fn(usize) -> (u16, u16)) -> Digest {
+        self.number += 1;
+        let sum = |of: fn(&Sum) -> u32| self.sums[0].iter().map(of).sum::<u32>().min(65_535) as u16;
+        Digest {
+            session: self.session,
+            number: self.number,
+            zone: self.own,
+            open: open.min(65_535) as u16,
+            arrived: sum(|s| s.arrived),
+            turned: sum(|s| s.turned),
+            seen: self.seen(now_there),
+        }
+    }
+}
+
+/// What all is known of a zone comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is known.
+    Unknown,
+    /// It works.
+    Good,
+    /// Some find it failing.
+    Mixed,
+    /// Most find it failing.
+    Down {
+        /// Connections there are refused, and nobody was answered: it is not only slow.
+        dead: bool,
+    },
+    /// Its dispatchers are silent, and nobody else finds it working.
+    Cut,
+}
+
+/// The newest digest of each dispatcher.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    newest: BTreeMap<Source, (Digest, f64)>,
+}
+
+impl Evidence {
+    /// A dispatcher's digest has come. False where a newer one was there, or where it cannot be of this fleet.
+    pub fn hear(&mut self, now: f64, source: Source, digest: Digest, zones: usize) -> bool {
+        if digest.seen.len() != zones || usize::from(digest.zone) >= zones {
+            return false;
+        }
+        let known = self.newest.get(&source).map(|(d, _)| (d.session, d.number));
+        if known.is_some_and(|known| known >= (digest.session, digest.number)) {
+            return false;
+        }
+        self.newest.insert(source, (digest, now));
+        true
+    }
+
+    /// The digests that are known, whatever their age.
+    pub fn known(&self) -> impl Iterator<Item = (Source, &Digest)> {
+        self.newest.iter().map(|(source, (digest, _))| (*source, digest))
+    }
+
+    /// The digests that still say something.
+    pub fn fresh(&self, now: f64) -> impl Iterator<Item = &Digest> {
+        self.newest.values().filter(move |(_, heard)| now - heard <= FRESH).map(|(digest, _)| digest)
+    }
+
+    /// What is known of a zone; `peopled` where the operator's file has dispatchers in it.
+    pub fn judge(&self, now: f64, zone: usize, peopled: bool) -> Verdict {
+        let fresh: Vec<&Digest> = self.fresh(now).collect();
+        let works: Vec<bool> = (0..fresh.first().map_or(0, |d| d.seen.len()))
+            .map(|z| fresh.iter().any(|d| d.seen[z].works()))
+            .collect();
+        // One that every zone fails, where others get through, has a fault of its own.
+        let believed = |d: &&&Digest| {
+            !(d.blind() && d.seen.iter().zip(&works).any(|(seen, works)| seen.fails() && *works))
+        };
+        let (mut fails, mut good, mut dead, mut elsewhere) = (0, 0, true, false);
+        for digest in fresh.iter().filter(believed) {
+            let seen = &digest.seen[zone];
+            if seen.fails() {
+                fails += 1;
+                dead &= seen.dead();
+                elsewhere |= digest.seen.iter().enumerate().any(|(at, s)| at != zone && s.works());
+            } else if seen.answered > 0 {
+                good += 1;
+            }
+        }
+        let at_home = fresh.iter().filter(|d| usize::from(d.zone) == zone).count();
+        match (fails, good) {
+            (0, 0) if peopled && at_home == 0 && !fresh.is_empty() => Verdict::Cut,
+            (0, 0) => Verdict::Unknown,
+            (0, _) => Verdict::Good,
+            // One alone may have a fault of its own, unless it gets through to other zones and nobody else is there.
+            (1, 0) if !(elsewhere && at_home <= 1) => Verdict::Mixed,
+            (fails, good) if fails > good => Verdict::Down { dead: dead && good == 0 },
+            (1, _) => Verdict::Good,
+            (fails, good) if fails * 2 > good => Verdict::Mixed,
+            _ => Verdict::Good,
+        }
+    }
+}
--- /dev/null
+++ b/src/zones/tests.rs
@@ -0,0 +1,376 @@
+//! A fleet on a set clock: dispatchers that see their zones, one that decides, and all that follow.
+
+use proptest::prelude::*;
+
+use super::*;
+
+const ZONES: usize = 3;
+/// Dispatchers of each zone.
+const EACH: usize = 3;
+
+/// How a zone behaves.
+#[derive(Clone, Copy, PartialEq)]
+enum Zoned {
+    Works,
+    Dead,
+    Slow,
+    /// Its dispatchers are not heard.
+    Away,
+}
+
+struct Fleet {
+    now: f64,
+    zones: [Zoned; ZONES],
+    /// Dispatchers whose own cable is cut: all that they try fails, but they are heard.
+    blind: Vec<usize>,
+    tallies: Vec<Tally>,
+    followers: Vec<Follower>,
+    evidence: Evidence,
+    decider: Decider,
+    table: Table,
+    epoch: u64,
+    /// Requests that each dispatcher has open, and slots of each zone.
+    open: usize,
+    slots: u16,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let table = Table::open(ZONES);
+        let tallies = (0..ZONES * EACH).map(|d| Tally::new((d / EACH) as u16, ZONES, 1, 0.0));
+        let followers = (0..ZONES * EACH).map(|d| Follower::new(d / EACH, ZONES, Rules::default(), 0.0));
+        Fleet {
+            now: 0.0,
+            zones: [Zoned::Works; ZONES],
+            blind: Vec::new(),
+            tallies: tallies.collect(),
+            followers: followers.collect(),
+            evidence: Evidence::default(),
+            decider: Decider::new(Rules::default(), 0.0, &table),
+            table,
+            epoch: 0,
+            open: 10,
+            slots: 60,
+        }
+    }
+
+    /// A quarter of a second: each dispatcher sends ten requests by the shares that it has.
+    fn step(&mut self) {
+        self.now += STEP;
+        for d in 0..self.tallies.len() {
+            let own = d / EACH;
+            let shares = self.followers[d].view(self.now, &[]).shares.clone();
+            // Near first; what the own zone may not get goes to the others by their shares.
+            let near = f64::from(shares[own]) / 1000.0;
+            let others: f64 = (0..ZONES).filter(|z| *z != own).map(|z| f64::from(shares[z])).sum();
+            for (zone, share) in shares.iter().enumerate() {
+                let part = if zone == own {
+                    near
+                } else if others > 0.0 {
+                    (1.0 - near) * f64::from(*share) / others
+                } else {
+                    0.0
+                };
+                for _ in 0..(part * 10.0).round() as usize {
+                    let end = match self.zones[zone] {
+                        _ if self.blind.contains(&d) => End::Refused,
+                        Zoned::Works | Zoned::Away => End::Answered,
+                        Zoned::Dead => End::Refused,
+                        Zoned::Slow => End::Silent,
+                    };
+                    self.tallies[d].ended(zone, end, 20.0);
+                    self.tallies[d].arrived(false);
+                }
+            }
+            self.tallies[d].roll(self.now);
+            let (open, slots) = (self.open, self.slots);
+            let out = |z: usize| if z == own && shares[own] > 0 { open as u16 } else { 0 };
+            let digest = self.tallies[d].digest(open, |z| (out(z), slots));
+            if self.zones[own] != Zoned::Away {
+                self.evidence.hear(self.now, d as Source, digest, ZONES);
+            }
+        }
+        if let Some(next) = self.decider.decide(self.now, &self.table, &self.evidence, &[true; ZONES]) {
+            self.table = next;
+            self.epoch += 1;
+        }
+        let mark = mark(self.now as u64);
+        for (d, follower) in self.followers.iter_mut().enumerate() {
+            if self.zones[d / EACH] != Zoned::Away {
+                follower.news(self.now, self.epoch, Some(self.table.clone()), mark);
+            }
+        }
+    }
+
+    fn run(&mut self, ms: f64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn states(&self) -> Vec<State> {
+        self.table.zones.iter().map(|zone| zone.state).collect()
+    }
+
+    /// Time until a zone is in a state.
+    fn until(&mut self, zone: usize, state: State, most: f64) -> f64 {
+        let began = self.now;
+        while self.table.zones[zone].state != state {
+            assert!(self.now < began + most, "{state:?} within {most} ms: {:?}", self.table);
+            self.step();
+        }
+        self.now - began
+    }
+}
+
+/// A mark of some leader's round.
+fn mark(round: u64) -> crate::council::Mark {
+    postcard::from_bytes(&postcard::to_stdvec(&(1u32, 1u64, round)).unwrap()).unwrap()
+}
+
+use State::{Closed, Open};
+
+#[test]
+fn a_dead_zone_is_closed_and_opened_step_by_step() {
+    let mut fleet = Fleet::new();
+    fleet.run(5000.0);
+    assert_eq!((fleet.epoch, fleet.states()), (0, vec![Open; ZONES]), "calm decides nothing");
+    fleet.zones[1] = Zoned::Dead;
+    assert!(fleet.until(1, Closed, 2500.0) <= 2500.0);
+    assert_eq!(fleet.states(), [Open, Closed, Open]);
+    assert_eq!(fleet.followers[EACH].view(fleet.now, &[]).shares[1], 0, "a drain for those within");
+    fleet.zones[1] = Zoned::Works;
+    fleet.until(1, State::Returning, 6000.0);
+    let mut shares = vec![fleet.table.zones[1].share];
+    while fleet.table.zones[1].state == State::Returning {
+        fleet.step();
+        shares.push(fleet.table.zones[1].share);
+    }
+    shares.dedup();
+    assert_eq!(shares, [50, 200, 500, 1000]);
+}
+
+/// One dispatcher's cable must not close a zone, its own or another.
+#[test]
+fn one_dispatcher_s_cut_cable_closes_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.run(1000.0);
+    fleet.blind = vec![0];
+    fleet.run(20_000.0);
+    assert_eq!((fleet.epoch, fleet.states()), (0, vec![Open; ZONES]));
+}
+
+#[test]
+fn a_zone_cut_off_but_alive_is_closed_for_the_rest_and_goes_on_for_itself() {
+    let mut fleet = Fleet::new();
+    fleet.run(1000.0);
+    fleet.zones[2] = Zoned::Away;
+    fleet.until(2, Closed, 3000.0);
+    fleet.run(20_000.0);
+    assert_eq!(fleet.states(), [Open, Open, Closed], "nobody there is heard: it stays closed");
+    let inside = &mut fleet.followers[2 * EACH];
+    assert_eq!(inside.standing(fleet.now), Standing::Alone);
+    let view = inside.view(fleet.now, &[Seen::default(); ZONES]).clone();
+    assert_eq!(view.shares, [500, 500, 1000], "it goes on at home, and takes less of the others");
+    // Back in contact, it follows without a jump.
+    fleet.zones[2] = Zoned::Works;
+    fleet.step();
+    assert_eq!(fleet.followers[2 * EACH].standing(fleet.now), Standing::Common);
+    let view = fleet.followers[2 * EACH].view(fleet.now, &[]).clone();
+    assert!(view.shares[2] <= 50, "closed in common until now, it returns: {view:?}");
+    assert!(view.shares[0] <= 750, "{view:?}");
+}
+
+/// A dispatcher that is alone never opens what was closed in common.
+#[test]
+fn alone_nothing_is_opened_that_was_closed_in_common() {
+    let mut table = Table::open(ZONES);
+    table.zones[1] = Zone { state: Closed, share: 0, ..Zone::default() };
+    let mut follower = Follower::new(0, ZONES, Rules::default(), 0.0);
+    assert!(follower.news(0.0, 4, Some(table), mark(1)));
+    assert!(!follower.news(10.0, 3, Some(Table::open(ZONES)), mark(2)), "an older epoch");
+    let mut kept = 0;
+    for at in 0..400u32 {
+        let now = f64::from(at) * STEP;
+        let view = follower.view(now, &[Seen::default(); ZONES]);
+        assert_eq!((view.shares[1], view.epoch), (0, 4));
+        kept += u32::from(view.standing == Standing::Kept);
+    }
+    assert_eq!(follower.standing(100_000.0), Standing::Alone);
+    assert!((20..40).contains(&kept), "the last epoch is kept for a bounded time: {kept}");
+    // By its own evidence it closes what fails it.
+    let fails = Seen { refused: 9, ..Seen::default() };
+    let view = follower.view(100_000.0, &[Seen::default(), Seen::default(), fails]);
+    assert_eq!(view.shares, [1000, 0, 0]);
+}
+
+#[test]
+fn nothing_is_closed_when_all_are_slow_at_once() {
+    let mut fleet = Fleet::new();
+    fleet.run(1000.0);
+    fleet.zones = [Zoned::Slow; ZONES];
+    for _ in 0..80 {
+        fleet.step();
+        assert!(!fleet.states().contains(&Closed), "{:?}", fleet.table);
+    }
+}
+
+/// Half of all slots stay open, however many zones die.
+#[test]
+fn the_last_half_is_not_closed() {
+    let mut fleet = Fleet::new();
+    fleet.run(1000.0);
+    fleet.zones = [Zoned::Dead, Zoned::Dead, Zoned::Works];
+    fleet.run(4000.0);
+    assert_eq!(fleet.states().iter().filter(|state| **state == Closed).count(), 1, "{:?}", fleet.table);
+}
+
+/// A zone that flaps every 2 s stays closed longer each time.
+#[test]
+fn a_zone_that_flaps_stays_closed_longer_each_time() {
+    let mut fleet = Fleet::new();
+    let mut closings = 0;
+    let mut before = Open;
+    for at in 0..480 {
+        fleet.zones[0] = if at / 8 % 2 == 0 { Zoned::Works } else { Zoned::Dead };
+        fleet.step();
+        let state = fleet.table.zones[0].state;
+        closings += u32::from(state == Closed && before != Closed);
+        before = state;
+    }
+    assert!((1..=5).contains(&closings), "{closings} closings in two minutes of sixty flaps");
+}
+
+/// Neighbours that are full get nothing pushed on them: it is refused at the near side.
+#[test]
+fn what_nobody_has_room_for_is_refused_at_home() {
+    let mut fleet = Fleet::new();
+    (fleet.open, fleet.slots) = (20, 66);
+    fleet.run(1000.0);
+    fleet.zones[1] = Zoned::Dead;
+    fleet.until(1, Closed, 3000.0);
+    fleet.run(2000.0);
+    // 60 are offered, and the other zones have 2 × 6 slots free, of which nine in ten are given out.
+    let admit = fleet.table.zones[1].admit;
+    assert!((100..=250).contains(&admit), "{admit}");
+    assert_eq!(fleet.table.zones[0].admit, WHOLE);
+    let mut gate = Gate::default();
+    let taken = (0..1000).filter(|_| gate.takes(admit)).count();
+    assert_eq!(taken, usize::from(admit));
+}
+
+/// Spill goes by free capacity, not to the next in order.
+#[test]
+fn spill_is_split_by_free_capacity() {
+    let mut table = Table::open(ZONES);
+    table.zones[0] = Zone { state: Closed, share: 0, ..Zone::default() };
+    let mut evidence = Evidence::default();
+    for (source, out) in [(1u16, 40), (2, 10)] {
+        let mut seen = vec![Seen { slots: 50, ..Seen::default() }; ZONES];
+        seen[usize::from(source)].out = out;
+        let digest = Digest { session: 1, number: 1, zone: source, open: 1, arrived: 1, turned: 0, seen };
+        assert!(evidence.hear(0.0, source, digest, ZONES));
+    }
+    let mut decider = Decider::new(Rules::default(), -2000.0, &table);
+    let next = decider.decide(0.0, &table, &evidence, &[false; ZONES]).unwrap();
+    let weights: Vec<u16> = next.zones.iter().map(|zone| zone.weight).collect();
+    assert_eq!(weights, [0, 250, 1000], "10 free of the one, 40 of the other");
+}
+
+fn digests() -> impl Strategy<Value = Vec<(Source, Digest)>> {
+    let seen = (0u16..9, 0u16..9, 0u16..9, 0u16..99, 0u16..99).prop_map(
+        |(answered, refused, silent, out, slots)| Seen { answered, refused, silent, took_ms: 1, out, slots },
+    );
+    let digest = (0u64..3, 0u64..4, 0u16..3, 0u16..50, prop::collection::vec(seen, ZONES)).prop_map(
+        |(session, number, zone, open, seen)| Digest {
+            session,
+            number,
+            zone,
+            open,
+            arrived: 9,
+            turned: 3,
+            seen,
+        },
+    );
+    prop::collection::vec((0u16..6, digest), 0..40).prop_map(|mut list| {
+        // A process sends one digest of each number.
+        let mut names = std::collections::BTreeSet::new();
+        list.retain(|(source, d)| names.insert((*source, d.session, d.number)));
+        list
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Evidence that comes in any order, some of it twice, is the same evidence.
+    #[test]
+    fn evidence_merges_in_any_order(list in digests(), seed in 0u64..1000) {
+        let mut draws = fastrand::Rng::with_seed(seed);
+        let (mut one, mut other) = (Evidence::default(), Evidence::default());
+        for (source, d) in &list {
+            one.hear(0.0, *source, d.clone(), ZONES);
+        }
+        let mut shuffled = list.clone();
+        shuffled.extend(list.iter().take(5).cloned());
+        draws.shuffle(&mut shuffled);
+        for (source, d) in &shuffled {
+            other.hear(0.0, *source, d.clone(), ZONES);
+        }
+        prop_assert!(one.known().eq(other.known()));
+        for zone in 0..ZONES {
+            prop_assert_eq!(one.judge(1.0, zone, true), other.judge(1.0, zone, true));
+        }
+    }
+
+    /// Whatever is seen, half of the slots stay open, shares are shares, and a table reads back.
+    #[test]
+    fn a_decision_leaves_half_of_the_slots(list in digests(), steps in 1usize..60) {
+        let mut evidence = Evidence::default();
+        let mut table = Table::open(ZONES);
+        let mut decider = Decider::new(Rules::default(), 0.0, &table);
+        for step in 0..steps {
+            let now = step as f64 * STEP;
+            for (source, d) in &list {
+                let number = d.number + step as u64 * 4;
+                evidence.hear(now, *source, Digest { number, session: 1, ..d.clone() }, ZONES);
+            }
+            if let Some(next) = decider.decide(now, &table, &evidence, &[true; ZONES]) {
+                prop_assert!(next.zones.iter().filter(|zone| zone.state == Closed).count() < ZONES);
+                prop_assert_eq!(Table::decode(&next.encode(), ZONES), Some(next.clone()));
+                prop_assert!(next.encode().len() <= crate::council::LONGEST);
+                table = next;
+            }
+        }
+        prop_assert_eq!(Table::decode(&table.encode(), ZONES + 1), None);
+    }
+
+    /// A follower's epoch never goes back, and what is closed gets nothing, in whatever order news come.
+    #[test]
+    fn a_follower_never_goes_back(news in prop::collection::vec((0u64..20, 0u64..20), 1..60)) {
+        let mut follower = Follower::new(0, ZONES, Rules::default(), 0.0);
+        let mut newest = 0;
+        for (at, (epoch, round)) in news.into_iter().enumerate() {
+            // An epoch has one table.
+            let closed = epoch as usize % ZONES;
+            let mut table = Table::open(ZONES);
+            table.zones[closed] = Zone { state: Closed, share: 0, ..Zone::default() };
+            let now = at as f64 * STEP;
+            follower.news(now, epoch, Some(table), mark(round));
+            let view = follower.view(now, &[]).clone();
+            prop_assert!(view.epoch >= newest);
+            newest = view.epoch;
+            if newest > 0 {
+                prop_assert_eq!(view.shares[newest as usize % ZONES], 0);
+            }
+        }
+    }
+
+    #[test]
+    fn a_table_that_does_not_read_is_none(bytes in prop::collection::vec(any::<u8>(), 0..80)) {
+        if let Some(table) = Table::decode(&bytes, ZONES) {
+            prop_assert!(table.zones.iter().all(|zone| zone.share <= WHOLE));
+        }
+    }
+}
