--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod api;
 pub mod core;
 pub mod council;
+pub mod fleet;
 pub mod flow;
 pub mod front;
 pub mod json;
