Fleet's front: datagrams, the voter's file, and zones steered through the core

Cause: the node of src/fleet needs sockets, a disk and a dispatcher to steer. Change: table [fleet] of the operator's file, checked with plain errors; UDP between the named addresses on the one loop, a thread that writes and syncs, the address waited for while another process holds it; the core scales the sizes of a zone's members by its share, drains a zone with none, and refuses at home what no zone has room for; figures on the console and one structured line a decision. Off, the core has one empty option.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 mod counters;
 mod session;
 mod stages;
+mod steer;
 mod table;
 
 use std::collections::VecDeque;
@@ -14,13 +15,15 @@
 pub use clock::{Clock, micros, millis};
 pub use counters::Counters;
 pub use session::{Dispatch, Request, Session, SessionId, Verdict};
+pub use steer::Seen;
 pub use table::{Line, Server, ServerTable};
 
 use crate::Dispatcher;
-use crate::api::{Action, Event, Micros, Outcome, Report, WorkerId};
+use crate::api::{Action, Event, Member, MemberState, Micros, Outcome, Report, WorkerId};
 use crate::learned::Learned;
 use crate::settings::Site;
 use crate::telemetry::{Gauges, Telemetry};
+use steer::Steer;
 
 /// What a front is to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -77,6 +80,8 @@
     stopping: bool,
     /// Since when, and by when all that came since is to be over.
     hurry: Option<(f64, f64)>,
+    /// What each zone may get, where that is steered.
+    steer: Option<Box<Steer>>,
 }
 
 impl Core {
@@ -99,6 +104,7 @@
             counters: Counters::default(),
             stopping: false,
             hurry: None,
+            steer: None,
         }
     }
 
@@ -161,16 +167,71 @@
         stages::relay::streaming(self, session, attempt)
     }
 
+    /// Takes lines into the server table, and gives members as the module is to see them.
+    fn take_lines(&mut self, lines: Vec<Line>, whole: bool) -> Vec<Member> {
+        let mut members = self.table.apply(lines, whole);
+        if let Some(steer) = &self.steer {
+            steer.fit(&mut members);
+        }
+        members
+    }
+
+    /// From now on its zones are steered, and what they do is kept for `seen`.
+    pub fn steered(&mut self) {
+        self.steer = Some(Box::new(Steer::new(self.site.zones.len())));
+    }
+
+    /// What each zone may get from now on, in thousandths, and what of the requests is taken.
+    pub fn steer(&mut self, shares: Vec<u16>, admit: u16) {
+        let Some(steer) = self.steer.as_mut() else { return };
+        steer.admit = admit;
+        if steer.shares == shares {
+            return;
+        }
+        steer.shares = shares;
+        let mut members: Vec<Member> = self.table.listed().iter().map(|s| s.line.member).collect();
+        steer.fit(&mut members);
+        stages::route::drive(self, Event::Changes(&members));
+    }
+
+    /// Tells what has happened since the last look.
+    pub fn seen(&mut self, mut tell: impl FnMut(Seen)) {
+        if let Some(steer) = &mut self.steer {
+            steer.seen.drain(..).for_each(&mut tell);
+        }
+    }
+
+    /// Of each zone: dispatches that are out there, and the sizes of its listed servers.
+    pub fn loads(&self, zones: usize) -> Vec<(usize, f64)> {
+        let mut loads = vec![(0, 0.0); zones];
+        for server in self.table.listed() {
+            let member = &server.line.member;
+            if let Some(load) = loads.get_mut(usize::from(member.zone))
+                && member.state == MemberState::Ready
+            {
+                load.1 += member.size;
+            }
+        }
+        let out = self.sessions.values().flat_map(|s| s.dispatches.iter().filter(|d| d.out));
+        for dispatch in out {
+            let zone = self.table.get(dispatch.server).map(|s| usize::from(s.line.member.zone));
+            if let Some(load) = zone.and_then(|zone| loads.get_mut(zone)) {
+                load.0 += 1;
+            }
+        }
+        loads
+    }
+
     /// The list as last held before a restart.
     pub fn known(&mut self, lines: Vec<Line>) {
-        let members = self.table.apply(lines, true);
+        let members = self.take_lines(lines, true);
         stages::route::drive(self, Event::Cached(&members));
     }
 
     /// The whole list, or its changes.
     pub fn listed(&mut self, lines: Vec<Line>, whole: bool) {
         self.counters.lists += 1;
-        let members = self.table.apply(lines, whole);
+        let members = self.take_lines(lines, whole);
         stages::route::drive(self, if whole { Event::List(&members) } else { Event::Changes(&members) });
     }
 
@@ -241,7 +302,7 @@
     /// been read here; false where what was learned cannot be true here.
     pub fn recall(&mut self, lines: Vec<Line>, learned: Learned) -> bool {
         if self.counters.lists == 0 {
-            let members = self.table.apply(lines, true);
+            let members = self.take_lines(lines, true);
             stages::route::drive(self, Event::List(&members));
         }
         self.module.recall(micros(self.clock.now()), learned)
--- a/src/core/stages/admit.rs
+++ b/src/core/stages/admit.rs
@@ -14,12 +14,14 @@
     }
     let full = core.sessions.len() >= core.limit;
     let late = request.due <= core.clock.now();
-    if !(full || late || core.stopping) {
+    // What no zone has room for is refused at the near side.
+    let crowded = !(full || late || core.stopping) && core.steer.as_mut().is_some_and(|steer| !steer.takes());
+    if !(full || late || core.stopping || crowded) {
         return Ok(request);
     }
     core.counters.turned_away += 1;
     core.telemetry.answered(request.class, Disposition::Rejected);
     // A full dispatcher has room again when sessions end; one that stops has gone by then.
-    let retry_after = if full { core.site.max_retry_after } else { 0.0 };
+    let retry_after = if full || crowded { core.site.max_retry_after } else { 0.0 };
     Err(Verdict::Denied { retry_after })
 }
--- a/src/core/stages/relay.rs
+++ b/src/core/stages/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{Ended, Event, JobId, Outcome, Report};
 use crate::core::stages::{book, route};
-use crate::core::{Core, SessionId, Verdict, micros};
+use crate::core::{Core, Seen, SessionId, Verdict, micros, millis, steer};
 
 /// The end of a dispatch. One that is over already is counted and changes nothing, so that news that repeat or
 /// come late cannot answer a session twice.
@@ -25,6 +25,12 @@
     // How long its server took: the pace of a long answer is its client's as well.
     let (worker, latency) = (dispatch.server, micros(dispatch.began.unwrap_or(now) - dispatch.sent));
     let streaming = core.sessions.get(&id).is_some_and(|s| s.streaming);
+    if let Some(steer) = &mut core.steer
+        && let Some(end) = steer::end(outcome)
+        && let Some(server) = core.table.get(worker)
+    {
+        steer.note(Seen::Ended { zone: server.line.member.zone, end, took: millis(latency) });
+    }
     match outcome {
         Outcome::Served => book::answer(core, id, Verdict::Served(result)),
         // Bytes of the answer are out: nothing else can follow.
--- /dev/null
+++ b/src/core/steer.rs
@@ -0,0 +1,78 @@
+//! Steering: what each zone may get reaches the module through its list, and what zones did is kept for whoever
+//! steers. Off, it is not there.
+
+use crate::api::{Member, MemberState, Outcome};
+use crate::zones::{End, Gate, WHOLE};
+
+/// Most events that are kept between two looks.
+const KEPT: usize = 1 << 16;
+
+/// What has happened since the last look.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Seen {
+    /// A request came, and was turned away since zones have no room, or not.
+    Came {
+        /// It was turned away.
+        turned: bool,
+    },
+    /// A dispatch has ended.
+    Ended {
+        /// The zone of its server, by the site's order.
+        zone: u16,
+        /// How, as far as the zone goes.
+        end: End,
+        /// After so many milliseconds.
+        took: f64,
+    },
+}
+
+/// What steers a core.
+#[derive(Debug)]
+pub(super) struct Steer {
+    /// What each zone of the site may get.
+    pub(super) shares: Vec<u16>,
+    /// What of the requests is taken.
+    pub(super) admit: u16,
+    gate: Gate,
+    pub(super) seen: Vec<Seen>,
+}
+
+impl Steer {
+    pub(super) fn new(zones: usize) -> Steer {
+        Steer { shares: vec![WHOLE; zones], admit: WHOLE, gate: Gate::default(), seen: Vec::new() }
+    }
+
+    pub(super) fn note(&mut self, seen: Seen) {
+        if self.seen.len() < KEPT {
+            self.seen.push(seen);
+        }
+    }
+
+    /// Whether the next request is taken.
+    pub(super) fn takes(&mut self) -> bool {
+        let takes = self.admit >= WHOLE || self.gate.takes(self.admit);
+        self.note(Seen::Came { turned: !takes });
+        takes
+    }
+
+    /// Members as the module is to see them: a zone's share scales their size, and none is a drain.
+    pub(super) fn fit(&self, members: &mut [Member]) {
+        for member in members {
+            match self.shares.get(usize::from(member.zone)).copied().unwrap_or(WHOLE) {
+                0 if member.state == MemberState::Ready => member.state = MemberState::Draining,
+                0 | WHOLE => {}
+                share => member.size *= f64::from(share) / f64::from(WHOLE),
+            }
+        }
+    }
+}
+
+/// What a dispatch's outcome says of its zone; none where it says nothing.
+pub(super) fn end(outcome: Outcome) -> Option<End> {
+    match outcome {
+        Outcome::Served | Outcome::Error | Outcome::Full | Outcome::Unfit => Some(End::Answered),
+        Outcome::TimedOut => Some(End::Silent),
+        Outcome::Unreachable | Outcome::Reset => Some(End::Refused),
+        Outcome::Cancelled | Outcome::NotSent | Outcome::Unknown => None,
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod console;
 pub mod discovery;
+pub mod fleet;
 pub mod gearman;
 pub mod handover;
 pub mod operator;
@@ -17,6 +18,7 @@
 use crate::telemetry::{self, Gauges};
 
 use console::{Call, Console};
+use fleet::Fleet;
 use gearman::Gearman;
 use platform::Platform;
 use stream::Stream;
@@ -92,6 +94,8 @@
     pub gearman: Option<gearman::Config>,
     /// The stream front's.
     pub stream: Option<stream::Config>,
+    /// The fleet's.
+    pub fleet: Option<fleet::Config>,
     /// The console's address: of `$LB_CONSOLE`, of `console` in the platform's configuration, or of the
     /// operator's file, in that order.
     pub console: Option<SocketAddr>,
@@ -111,7 +115,7 @@
                 None => operator.as_ref().and_then(|o| o.console),
             },
         };
-        let (table, stream) = operator.map_or((None, None), |o| (o.gearman, o.stream));
+        let (table, stream, fleet) = operator.map_or((None, None, None), |o| (o.gearman, o.stream, o.fleet));
         let path = self.gearman.as_ref().or(self.operator.as_ref());
         let file = match (&self.gearman, table) {
             (Some(path), Some(_)) => return Err(format!("{path}: Gearman is set up in two files")),
@@ -127,7 +131,7 @@
         let platform = config
             .zip(self.config.as_ref())
             .map(|(config, path)| platform::Config::read(&config, taken).map_err(|e| format!("{path}: {e}")));
-        Ok(Configs { platform: platform.transpose()?, gearman, stream, console })
+        Ok(Configs { platform: platform.transpose()?, gearman, stream, fleet, console })
     }
 }
 
@@ -146,6 +150,8 @@
     pub gearman: Option<Gearman>,
     /// The stream front, where it is set up.
     pub stream: Option<Stream>,
+    /// The fleet's front, where it is set up.
+    pub fleet: Option<Fleet>,
     /// The operators' console, where it is set up.
     pub console: Option<Console>,
     /// Where the process is in its life.
@@ -164,6 +170,9 @@
         if let Some(console) = &mut self.console {
             console.sweep(&mut self.net, self.clock.now());
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.tick(self.platform.as_mut().map(Platform::core_mut));
+        }
         if let Some(front) = &mut self.platform {
             front.tick(&mut self.net);
         }
@@ -180,7 +189,12 @@
         let platform = self.platform.as_ref().map_or(f64::INFINITY, Platform::next);
         let gearman = self.gearman.as_ref().map_or(f64::INFINITY, Gearman::next);
         let console = self.console.as_ref().map_or(f64::INFINITY, Console::next);
-        platform.min(gearman).min(self.stream.as_ref().map_or(f64::INFINITY, Stream::next)).min(console)
+        let fleet = self.fleet.as_ref().map_or(f64::INFINITY, Fleet::next);
+        platform
+            .min(fleet)
+            .min(gearman)
+            .min(self.stream.as_ref().map_or(f64::INFINITY, Stream::next))
+            .min(console)
     }
 
     /// Carries an operator's call out and words its answer.
@@ -214,7 +228,7 @@
         cores.extend(self.stream.as_ref().map(Stream::core));
         let gauges = cores.iter().fold(Gauges::default(), |sum, core| sum + core.gauges());
         let counts: Vec<_> = cores.iter().map(|core| core.telemetry()).collect();
-        telemetry::render(&counts, gauges)
+        telemetry::render(&counts, gauges) + &self.fleet.as_ref().map(Fleet::figures).unwrap_or_default()
     }
 
     /// Begins to stop: what was taken is finished, and nothing new is taken after a short while.
@@ -223,6 +237,9 @@
         let successor = !self.life.stopping()
             && self.note.as_ref().is_some_and(|(path, since)| handover::successor(path, own, *since));
         self.life.on(self.clock.now(), Cause::Terminate { successor });
+        if let Some(fleet) = &mut self.fleet {
+            fleet.stop();
+        }
         if let Some(front) = &mut self.platform {
             front.stop(&mut self.net, successor);
         }
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use super::stream;
+use super::{fleet, stream};
 use crate::json::JsonValue;
 
 /// Why the file cannot be used.
@@ -35,15 +35,23 @@
         /// All that is wrong.
         errors: Vec<stream::ConfigError>,
     },
+    /// Its fleet's table does not fit.
+    #[error("{file}: {}", list(.errors))]
+    Fleet {
+        /// Its path.
+        file: String,
+        /// All that is wrong.
+        errors: Vec<fleet::ConfigError>,
+    },
     /// It has no front's table.
-    #[error("{file}: neither [gearman], [stream] nor `console`: there is nothing to set up")]
+    #[error("{file}: neither [fleet], [gearman], [stream] nor `console`: there is nothing to set up")]
     Empty {
         /// Its path.
         file: String,
     },
 }
 
-fn list(errors: &[stream::ConfigError]) -> String {
+fn list<E: std::fmt::Display>(errors: &[E]) -> String {
     errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
 }
 
@@ -53,6 +61,8 @@
     pub gearman: Option<JsonValue>,
     /// The stream front's.
     pub stream: Option<stream::Config>,
+    /// The fleet's table.
+    pub fleet: Option<fleet::Config>,
     /// The operators' console, if the file names its address.
     pub console: Option<std::net::SocketAddr>,
 }
@@ -63,6 +73,7 @@
     console: Option<std::net::SocketAddr>,
     gearman: Option<GearmanTable>,
     stream: Option<stream::Table>,
+    fleet: Option<fleet::FleetTable>,
 }
 
 /// The keys that Gearman's table may have; its front reads their values.
@@ -120,12 +131,14 @@
     let parse = |cause| FileError::Parse { file: file.into(), cause };
     let known: File = toml::from_str(text).map_err(parse)?;
     let mut whole: toml::Table = toml::from_str(text).map_err(parse)?;
-    if known.gearman.is_none() && known.stream.is_none() && known.console.is_none() {
+    if known.gearman.is_none() && known.stream.is_none() && known.console.is_none() && known.fleet.is_none() {
         return Err(FileError::Empty { file: file.into() });
     }
     let stream = known.stream.map(stream::Table::check).transpose();
     let stream = stream.map_err(|errors| FileError::Stream { file: file.into(), errors })?;
-    Ok(Operator { gearman: whole.remove("gearman").map(json), stream, console: known.console })
+    let fleet = known.fleet.map(fleet::FleetTable::check).transpose();
+    let fleet = fleet.map_err(|errors| FileError::Fleet { file: file.into(), errors })?;
+    Ok(Operator { gearman: whole.remove("gearman").map(json), stream, fleet, console: known.console })
 }
 
 /// A value of TOML as one of JSON; a date becomes its text. The parser of TOML bounds its nesting.
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -92,6 +92,11 @@
         &self.core
     }
 
+    /// Its core, to be steered.
+    pub fn core_mut(&mut self) -> &mut Core {
+        &mut self.core
+    }
+
     /// Its listener.
     pub fn listener(&self) -> usize {
         self.clients.listener
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use clap::Parser;
 use micabeam::core::Clock;
 use micabeam::front::console::Console;
+use micabeam::front::fleet::Fleet;
 use micabeam::front::gearman::{self, Gearman};
 use micabeam::front::platform::{self, Platform};
 use micabeam::front::stream::{self, Stream};
@@ -66,10 +67,10 @@
         .map_err(|e| e.to_string())?;
 
     let clock = Clock::system();
-    let mut net = Net::new(handle);
+    let mut net = Net::new(handle.clone());
     let Arguments { operator, gearman } = arguments;
     let files = Files { config: std::env::var("LB_CONFIG").ok(), gearman, operator };
-    let Configs { platform, gearman, stream, console } = files.read()?;
+    let Configs { platform, gearman, stream, fleet, console } = files.read()?;
     if platform.is_none() && gearman.is_none() && stream.is_none() {
         return Err("LB_CONFIG names no configuration, and --operator or --gearman no operator's file".into());
     }
@@ -77,16 +78,20 @@
     let stream = stream.map(|config| open_stream(config, &mut net, &clock)).transpose()?;
     let platform = platform.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
     let console = console.map(|address| open_console(address, &mut net)).transpose()?;
+    let mut fleet = fleet.map(|config| open_fleet(config, handle, &clock)).transpose()?;
     let life = Lifecycle::new(clock.now());
     let mut note = None;
     let platform = platform.map(|(mut front, local)| {
         let path = handover::path(&std::env::temp_dir(), local);
         let before = handover::beside(&path, std::process::id());
         note = leave_note(&path, &clock);
+        if let Some(fleet) = &mut fleet {
+            fleet.steer(front.core_mut());
+        }
         front.join(&mut net, local, path, before);
         front
     });
-    let mut gateway = Gateway { net, platform, gearman, stream, console, life, note, clock, files };
+    let mut gateway = Gateway { net, platform, gearman, stream, fleet, console, life, note, clock, files };
     gateway.tick();
     while !gateway.stopped() {
         let wait = (gateway.next() - gateway.clock.now()).clamp(0.0, ROUND);
@@ -122,6 +127,17 @@
     Ok(Console::new(listener))
 }
 
+/// The fleet's front, and the log that its decisions are told by.
+fn open_fleet(
+    config: micabeam::front::fleet::Config,
+    handle: calloop::LoopHandle<'static, Gateway>,
+    clock: &Clock,
+) -> Result<Fleet, String> {
+    // A second subscriber cannot be there: the first one set stays.
+    let _ = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).try_init();
+    Fleet::new(config, handle, clock.clone())
+}
+
 fn open_stream(config: stream::Config, net: &mut Net<Gateway>, clock: &Clock) -> Result<Stream, String> {
     let listen = config.table.listen;
     let (listener, local) =
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -133,7 +133,7 @@
 }
 
 /// A label value as the format has it: backslash, quote and line feed escaped.
-fn escape(value: &str) -> String {
+pub(crate) fn escape(value: &str) -> String {
     value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
 }
 
