Zones: traffic is near while the own zone has room; rig of real processes with faults

Change: the table says whether a zone has room for its own (a gap between full and roomy), and foreign zones get next to nothing until it has not, or fails the dispatcher itself. rig: zones, N processes in Z zones behind a layer that delays, loses, doubles and cuts datagrams by seed, with workers, clients, discovery and a checker.

--- /dev/null
+++ b/rig/src/http.rs
@@ -0,0 +1,82 @@
+//! What the stand-ins share: a side of an HTTP connection, and draws by seed.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+/// A small generator: the same draws for a seed on every machine (splitmix64).
+pub struct Draws(pub u64);
+
+impl Draws {
+    /// A number below a bound.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % bound
+    }
+}
+
+/// What a lock holds, whoever panicked with it.
+pub fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// One side of an HTTP connection.
+pub struct Http(pub BufReader<TcpStream>);
+
+impl Http {
+    /// Over a connection that is open.
+    pub fn over(stream: TcpStream, patience: Duration) -> std::io::Result<Http> {
+        stream.set_read_timeout(Some(patience))?;
+        stream.set_nodelay(true)?;
+        Ok(Http(BufReader::new(stream)))
+    }
+
+    /// Over a new connection.
+    pub fn connect(address: SocketAddr, patience: Duration) -> std::io::Result<Http> {
+        Http::over(TcpStream::connect_timeout(&address, Duration::from_secs(1))?, patience)
+    }
+
+    /// Writes a message.
+    pub fn write(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
+    }
+
+    /// A whole message: its head and its body.
+    pub fn read(&mut self) -> std::io::Result<(String, String)> {
+        let (mut head, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line)? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            if line.trim().is_empty() {
+                break;
+            }
+            if let Some((name, value)) = line.split_once(':')
+                && name.eq_ignore_ascii_case("content-length")
+            {
+                length = value.trim().parse().unwrap_or(0usize).min(1 << 16);
+            }
+            head.push_str(&line);
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body)?;
+        Ok((head, String::from_utf8_lossy(&body).into_owned()))
+    }
+}
+
+/// A header's value, by its name in small letters.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// The status of an answer's head.
+pub fn status(head: &str) -> u16 {
+    head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,13 +5,16 @@
 #![forbid(unsafe_code)]
 
 pub mod body;
+pub mod datagrams;
 pub mod dispatch;
+pub mod http;
 pub mod peers;
 pub mod program;
 pub mod relay;
 pub mod stores;
 pub mod streams;
 pub mod upgrade;
+pub mod zones;
 
 use thiserror::Error;
 
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -69,6 +69,27 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Zones that fail, with dispatchers in each that decide in common
+    Zones {
+        /// Processes in all
+        #[arg(long, default_value_t = 15)]
+        dispatchers: usize,
+        /// Zones
+        #[arg(long, default_value_t = 3)]
+        zones: usize,
+        /// How long faults go on
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Decides faults and jobs
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Jobs a second of each dispatcher's clients
+        #[arg(long, default_value_t = 20)]
+        rate: u64,
+        /// Each dispatcher decides alone, as without a fleet
+        #[arg(long)]
+        alone: bool,
+    },
     /// The ledger's load on embedded engines and on a plain log
     Stores {
         /// Jobs, of three records each
@@ -121,6 +142,26 @@
             }
             Ok(figures.line())
         }
+        Experiment::Zones { dispatchers, zones, seconds, seed, rate, alone } => {
+            if dispatchers < 3 || zones < 2 || zones > dispatchers {
+                return Err(RigError::Disproved("3 dispatchers and 2 zones are needed at least".into()));
+            }
+            let plan = micabeam_rig::zones::Plan {
+                dispatchers,
+                zones,
+                seconds,
+                seed,
+                rate,
+                agreed: !alone,
+                only: None,
+            };
+            let figures = micabeam_rig::zones::experiment(&plan)?;
+            if let Err(e) = figures.proves() {
+                println!("{}", figures.line());
+                return Err(e);
+            }
+            Ok(figures.line())
+        }
         Experiment::Upgrade { rounds, rate, seed } => {
             let figures = upgrade::experiment(&upgrade::Plan { rounds, rate, seed })?;
             if let Err(e) = figures.proves() {
--- a/src/zones/decide.rs
+++ b/src/zones/decide.rs
@@ -33,6 +33,10 @@
 const CAREFUL: u16 = 500;
 /// A zone stays closed so many times as long as the first time at most.
 const LONGEST: f64 = 12.0;
+/// Dispatchers of a zone that is asked for more than this part of its slots may cross its border, until it is asked for
+/// less than the other.
+const FULL: f64 = 0.85;
+const ROOMY: f64 = 0.7;
 /// Weights are decided anew where one has moved by this much.
 const MOVED: u16 = 150;
 
@@ -104,6 +108,8 @@
         let moved = moved.into_iter().any(|(new, old)| {
             new.weight.abs_diff(old.weight) >= MOVED || new.admit.abs_diff(old.admit) >= MOVED
         });
+        let nears = |t: &Table| t.zones.iter().map(|z| z.near).collect::<Vec<_>>();
+        let turned = turned || nears(&next) != nears(table);
         if turned || moved && now >= self.balanced + self.rules.step {
             self.balanced = now;
             return Some(next);
@@ -207,7 +213,12 @@
         // In steps of a twentieth: small moves are not worth a decision.
         let part = |part: f64| ((part.clamp(0.0, 1.0) * 20.0).round() * 50.0) as u16;
         let known = self.slots.iter().any(|slots| *slots > 0.0);
-        for (zone, free) in table.zones.iter_mut().zip(&free) {
+        for ((zone, free), (slots, offered)) in
+            table.zones.iter_mut().zip(&free).zip(self.slots.iter().zip(&self.offered))
+        {
+            // With a gap between, lest it go to and fro.
+            let bound = if zone.near { FULL } else { ROOMY };
+            zone.near = *slots <= 0.0 || *offered <= slots * bound;
             zone.weight = if known && most > 0.0 { part(free / most) } else { WHOLE };
             let short = known && need > 0.0 && zone.state != State::Open;
             zone.admit = if short {
--- a/src/zones/follow.rs
+++ b/src/zones/follow.rs
@@ -2,7 +2,7 @@
 
 use super::decide::Rules;
 use super::evidence::Seen;
-use super::{State, Table, WHOLE};
+use super::{FAR, State, Table, WHOLE};
 use crate::council::Mark;
 
 /// News are taken for current for so long, in milliseconds.
@@ -96,8 +96,9 @@
     pub fn view(&mut self, now: f64, seen: &[Seen]) -> &View {
         let standing = self.standing(now);
         let admit = self.table.zones.get(self.own).map_or(WHOLE, |zone| zone.admit);
+        let fails_at_home = seen.get(self.own).is_some_and(Seen::fails);
         for at in 0..self.table.zones.len() {
-            let target = self.target(at, standing, seen.get(at));
+            let target = self.target(at, standing, seen.get(at), fails_at_home);
             let share = &mut self.view.shares[at];
             *share = target.min(share.saturating_add(RISE));
         }
@@ -107,11 +108,15 @@
     }
 
     /// What a zone may get from this dispatcher in the end.
-    fn target(&self, at: usize, standing: Standing, seen: Option<&Seen>) -> u16 {
+    fn target(&self, at: usize, standing: Standing, seen: Option<&Seen>, fails_at_home: bool) -> u16 {
         let zone = &self.table.zones[at];
-        let own_open = self.table.zones.get(self.own).is_none_or(|own| own.state == State::Open);
+        let own = self.table.zones.get(self.own);
+        let own_open = own.is_none_or(|own| own.state == State::Open);
+        // Near while that is safe: what fails it at home goes over the border before the fleet has decided.
+        let near = own_open && own.is_none_or(|own| own.near) && !fails_at_home;
         let common = match zone.state {
             State::Closed => 0,
+            _ if at != self.own && near => zone.share.min(FAR),
             _ if at == self.own || own_open => zone.share,
             // What its own zone cannot take is split over the others by their free capacity.
             _ => zone.share.min(zone.weight),
--- a/src/zones/mod.rs
+++ b/src/zones/mod.rs
@@ -22,6 +22,9 @@
 pub const MOST_ZONES: usize = 32;
 /// A whole share.
 pub const WHOLE: u16 = 1000;
+/// What a foreign zone gets of a dispatcher whose own zone has room: next to nothing, and still there for a job that
+/// finds no place at home.
+pub const FAR: u16 = 2;
 
 /// What a zone may get.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,11 +53,13 @@
     pub admit: u16,
     /// How often it was closed of late: each time it stays closed longer.
     pub closings: u8,
+    /// Whether it has room for all that its dispatchers are asked for, so that they need not cross its border.
+    pub near: bool,
 }
 
 impl Default for Zone {
     fn default() -> Zone {
-        Zone { state: State::Open, share: WHOLE, weight: WHOLE, admit: WHOLE, closings: 0 }
+        Zone { state: State::Open, share: WHOLE, weight: WHOLE, admit: WHOLE, closings: 0, near: true }
     }
 }
 
