Zones: a foreign zone gets nothing while the own one has room, and takes over when it lists none

Cause: one job in twenty still crossed a border in calm time, since the module steps on to foreign workers of any size. Change: the share of a foreign zone is 0 while the own one has room; a dispatcher whose own zone fails it or lists no server uses the others before the fleet has decided.

--- a/src/zones/decide.rs
+++ b/src/zones/decide.rs
@@ -218,7 +218,7 @@
         {
             // With a gap between, lest it go to and fro.
             let bound = if zone.near { FULL } else { ROOMY };
-            zone.near = *slots <= 0.0 || *offered <= slots * bound;
+            zone.near = *offered <= slots * bound;
             zone.weight = if known && most > 0.0 { part(free / most) } else { WHOLE };
             let short = known && need > 0.0 && zone.state != State::Open;
             zone.admit = if short {
--- a/src/zones/follow.rs
+++ b/src/zones/follow.rs
@@ -2,7 +2,7 @@
 
 use super::decide::Rules;
 use super::evidence::Seen;
-use super::{FAR, State, Table, WHOLE};
+use super::{State, Table, WHOLE};
 use crate::council::Mark;
 
 /// News are taken for current for so long, in milliseconds.
@@ -96,7 +96,8 @@
     pub fn view(&mut self, now: f64, seen: &[Seen]) -> &View {
         let standing = self.standing(now);
         let admit = self.table.zones.get(self.own).map_or(WHOLE, |zone| zone.admit);
-        let fails_at_home = seen.get(self.own).is_some_and(Seen::fails);
+        let listed = seen.iter().any(|seen| seen.slots > 0);
+        let fails_at_home = seen.get(self.own).is_some_and(|seen| seen.fails() || listed && seen.slots == 0);
         for at in 0..self.table.zones.len() {
             let target = self.target(at, standing, seen.get(at), fails_at_home);
             let share = &mut self.view.shares[at];
@@ -116,7 +117,7 @@
         let near = own_open && own.is_none_or(|own| own.near) && !fails_at_home;
         let common = match zone.state {
             State::Closed => 0,
-            _ if at != self.own && near => zone.share.min(FAR),
+            _ if at != self.own && near => 0,
             _ if at == self.own || own_open => zone.share,
             // What its own zone cannot take is split over the others by their free capacity.
             _ => zone.share.min(zone.weight),
--- a/src/zones/mod.rs
+++ b/src/zones/mod.rs
@@ -22,9 +22,6 @@
 pub const MOST_ZONES: usize = 32;
 /// A whole share.
 pub const WHOLE: u16 = 1000;
-/// What a foreign zone gets of a dispatcher whose own zone has room: next to nothing, and still there for a job that
-/// finds no place at home.
-pub const FAR: u16 = 2;
 
 /// What a zone may get.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
