--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -43,6 +43,19 @@
     Ok(target.join("release/micabeam"))
 }
 
+/// What a process has used so far.
+pub fn usage(id: u32) -> Result<Usage, RigError> {
+    let proc = format!("/proc/{id}");
+    let status = tried("its status", std::fs::read_to_string(format!("{proc}/status")))?;
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
+    let stat = tried("its times", std::fs::read_to_string(format!("{proc}/stat")))?;
+    // Behind the name in brackets: fields 14 and 15 of all.
+    let behind = stat.rsplit(')').next().unwrap_or("");
+    let ticks = behind.split_whitespace().skip(11).take(2).filter_map(|t| t.parse::<f64>().ok()).sum::<f64>();
+    let kb: f64 = peak.ok_or_else(|| RigError::Program("it has no memory".into()))?;
+    Ok(Usage { peak_rss_mb: kb / 1024.0, cpu_s: ticks / TICKS })
+}
+
 impl Program {
     /// Starts the program with this operator's file, of which it is to open so many listeners.
     pub fn start(binary: &PathBuf, operator: &str, listeners: usize) -> Result<Program, RigError> {
@@ -80,17 +93,7 @@
 
     /// What it has used so far.
     pub fn usage(&self) -> Result<Usage, RigError> {
-        let proc = format!("/proc/{}", self.child.id());
-        let status = tried("its status", std::fs::read_to_string(format!("{proc}/status")))?;
-        let peak =
-            status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
-        let stat = tried("its times", std::fs::read_to_string(format!("{proc}/stat")))?;
-        // Behind the name in brackets: fields 14 and 15 of all.
-        let behind = stat.rsplit(')').next().unwrap_or("");
-        let ticks =
-            behind.split_whitespace().skip(11).take(2).filter_map(|t| t.parse::<f64>().ok()).sum::<f64>();
-        let kb: f64 = peak.ok_or_else(|| RigError::Program("it has no memory".into()))?;
-        Ok(Usage { peak_rss_mb: kb / 1024.0, cpu_s: ticks / TICKS })
+        usage(self.child.id())
     }
 
     /// Sends it a signal, by name.
--- a/rig/src/zones.rs
+++ b/rig/src/zones.rs
@@ -13,6 +13,7 @@
 
 use crate::datagrams::Datagrams;
 use crate::http::{Draws, Http, header, held, status};
+use crate::program::usage;
 use crate::{RigError, tried};
 
 /// How long a client waits for its answer.
@@ -137,8 +138,10 @@
     pub calm: u64,
     /// The latter.
     pub near: u64,
-    /// Bytes a second that each process sent to others.
+    /// Bytes a second that each process sent to others in calm time.
     pub bytes_s: u64,
+    /// Processor time of each process in calm time, in milliseconds a second, with the jobs that it carries.
+    pub cpu_ms_s: f64,
 }
 
 impl Figures {
@@ -152,7 +155,7 @@
         format!(
             "faults={} decisions={} epochs_back={} two_leaders_acted={} disagree_ms_worst={} closed_in_ms={} \
              reopened_in_ms={} not_closed={} wrongly_closed={} jobs={} served={} served_share={:.3} away={} \
-             answered_twice={} unanswered={} unsafe_ran_twice={} fallen={} late_drains={} near_share={:.4} bytes_s={}",
+             answered_twice={} unanswered={} unsafe_ran_twice={} fallen={} late_drains={} near_share={:.4} bytes_s={} cpu_ms_s={:.1}",
             self.faults,
             self.decisions,
             self.epochs_back,
@@ -173,6 +176,7 @@
             self.late_drains,
             self.near as f64 / self.calm.max(1) as f64,
             self.bytes_s,
+            self.cpu_ms_s,
         )
     }
 
@@ -607,6 +611,12 @@
         held(&self.world.away).push(Away { process: number, from: Instant::now(), until: None });
     }
 
+    /// Processor time of all, in seconds.
+    fn used(&self) -> Result<f64, RigError> {
+        let each = self.processes.iter().flatten().map(|p| usage(p.child.id()));
+        each.map(|used| used.map(|used| used.cpu_s)).sum()
+    }
+
     fn leader(&self) -> usize {
         let leads = |p: &Option<Process>| p.as_ref().is_some_and(|p| p.figure("lb_fleet_leads") == Some(1.0));
         self.processes.iter().position(leads).unwrap_or(0)
@@ -880,8 +890,9 @@
     }
     thread::sleep(Duration::from_secs(1));
     world.calm.store(true, Ordering::Relaxed);
-    let (before, began) = (stage.layer.passed().1, Instant::now());
+    let (before, began, used) = (stage.layer.passed().1, Instant::now(), stage.used()?);
     thread::sleep(Duration::from_secs(3));
+    let used = (stage.used()? - used) / began.elapsed().as_secs_f64();
     world.calm.store(false, Ordering::Relaxed);
     let bytes = (stage.layer.passed().1 - before) as f64 / began.elapsed().as_secs_f64();
     let mut draws = Draws(plan.seed);
@@ -900,6 +911,7 @@
     drop(stage);
     let mut figures = *held(&world.figures);
     figures.faults = played.len() as u64;
+    figures.cpu_ms_s = used * 1e3 / plan.dispatchers as f64;
     figures.bytes_s = (bytes / plan.dispatchers as f64) as u64;
     check(&world, &played, &mut figures);
     Ok(figures)
