Zones rig: crowded neighbours; what deciding on what each hears would cost

Cause: refusal at home had no run with real processes, and the way without agreement was weighed in words only. Change: the fault Crowded (jobs of 240 ms, then a dead zone); a model of gossip with a fifth of the links cut.

--- a/rig/src/zones.rs
+++ b/rig/src/zones.rs
@@ -25,6 +25,8 @@
 const SLOTS: u32 = 8;
 /// A worker with so many times the jobs that it runs at once is pushed over.
 const FALLS: u32 = 4;
+/// What jobs take longer while zones are crowded, in milliseconds.
+const LONG: u64 = 200;
 /// How long the fleet has to come up.
 const JOINS: Duration = Duration::from_secs(8);
 
@@ -53,6 +55,8 @@
     AllRestarted,
     /// The voters are split into two and three.
     Split,
+    /// Jobs take so long that zones have little room, and then a zone dies.
+    Crowded(usize),
 }
 
 impl Fault {
@@ -70,6 +74,7 @@
             Fault::Lossy,
             Fault::AllRestarted,
             Fault::Split,
+            Fault::Crowded(0),
         ];
         all.into_iter().find(|fault| format!("{fault:?}").split('(').next() == Some(name))
     }
@@ -122,6 +127,8 @@
     /// Jobs that a pool which sees everything would have served: all but those at a process that was away, and those
     /// sent while no server could serve in time.
     pub ideal: u64,
+    /// Jobs that were turned away with a time to come back.
+    pub refused: u64,
     /// Jobs without an answer at a process that was killed, frozen or gone.
     pub away: u64,
     /// Connections on which more came than the one answer.
@@ -154,7 +161,7 @@
     pub fn line(&self) -> String {
         format!(
             "faults={} decisions={} epochs_back={} two_leaders_acted={} disagree_ms_worst={} closed_in_ms={} \
-             reopened_in_ms={} not_closed={} wrongly_closed={} jobs={} served={} served_share={:.3} away={} \
+             reopened_in_ms={} not_closed={} wrongly_closed={} jobs={} served={} served_share={:.3} refused={} away={} \
              answered_twice={} unanswered={} unsafe_ran_twice={} fallen={} late_drains={} near_share={:.4} bytes_s={} cpu_ms_s={:.1}",
             self.faults,
             self.decisions,
@@ -168,6 +175,7 @@
             self.jobs,
             self.served,
             self.share(),
+            self.refused,
             self.away,
             self.answered_twice,
             self.unanswered,
@@ -208,6 +216,8 @@
 struct Zone {
     dead: AtomicBool,
     slow: AtomicBool,
+    /// Jobs take longer.
+    long: AtomicBool,
     /// Zones that nothing passes to or from.
     cut: Mutex<BTreeSet<usize>>,
 }
@@ -328,7 +338,8 @@
             let mut draws = Draws(id.bytes().fold(7, |sum, b| sum * 31 + u64::from(b)));
             let waits = u64::from(inside / SLOTS) * 40;
             let slow = if world.zones[zone].slow.load(Ordering::Relaxed) { 3000 } else { 0 };
-            thread::sleep(Duration::from_millis(20 + draws.below(40) + waits + slow));
+            let long = if world.zones[zone].long.load(Ordering::Relaxed) { LONG } else { 0 };
+            thread::sleep(Duration::from_millis(20 + draws.below(40) + waits + slow + long));
             world.inside[zone][number].fetch_sub(1, Ordering::Relaxed);
             if taken && !world.zones[zone].dead.load(Ordering::Relaxed) {
                 call_back(&world, zone, number, process, &id);
@@ -393,6 +404,7 @@
         let calm = world.calm.load(Ordering::Relaxed);
         let hopeless = world.hopeless.load(Ordering::Relaxed);
         let kept = conn.is_some();
+        let mut advised = false;
         let got = conn
             .take()
             .map_or_else(|| Http::connect(world.clients[process], DEADLINE * 2), Ok)
@@ -402,6 +414,7 @@
                 }
                 http.write(&text)?;
                 let (head, body) = http.read()?;
+                advised = header(&head, "retry-after").is_some();
                 let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
                 conn = (!closes).then_some(http);
                 Ok((status(&head), body))
@@ -425,7 +438,7 @@
                     }
                 }
             }
-            Ok(_) => {}
+            Ok((_, _)) => figures.refused += u64::from(advised),
             Err(_) if away => figures.away += 1,
             // A kept connection that closed as the request was written: nobody has read it.
             Err(_) if kept && !held(&world.runs).contains_key(&id) => figures.jobs -= 1,
@@ -720,6 +733,14 @@
                 world.zones.iter().for_each(|z| z.slow.store(false, Ordering::Relaxed));
                 world.hopeless.store(false, Ordering::Relaxed);
             }
+            Fault::Crowded(zone) => {
+                world.zones.iter().for_each(|z| z.long.store(true, Ordering::Relaxed));
+                thread::sleep(lasts);
+                dead(zone, true);
+                thread::sleep(lasts);
+                dead(zone, false);
+                world.zones.iter().for_each(|z| z.long.store(false, Ordering::Relaxed));
+            }
             Fault::Lossy => {
                 self.layer.change(|w| (w.lost, w.doubled, w.delay_ms) = (300, 50, 60));
                 thread::sleep(lasts);
@@ -792,7 +813,7 @@
         };
         // A closed zone returns in its own time, longer after each closing.
         let after = match fault {
-            Fault::ZoneDead(_) | Fault::ZoneCut(_) | Fault::Flaps(_) => 9000,
+            Fault::ZoneDead(_) | Fault::ZoneCut(_) | Fault::Flaps(_) | Fault::Crowded(_) => 9000,
             _ => 3000,
         };
         let (lasts, after) = (lasts.min(left), after.min(left.saturating_sub(lasts)));
@@ -964,7 +985,7 @@
         let to_blame = |at: Instant| {
             played.iter().any(|p| {
                 let of = match p.fault {
-                    Fault::ZoneDead(z) | Fault::ZoneCut(z) | Fault::Flaps(z) => z == zone,
+                    Fault::ZoneDead(z) | Fault::ZoneCut(z) | Fault::Flaps(z) | Fault::Crowded(z) => z == zone,
                     // The zones of those that the majority does not hear are cut off as well.
                     Fault::Split | Fault::AllRestarted => true,
                     _ => false,
--- a/rig/tests/zones.rs
+++ b/rig/tests/zones.rs
@@ -17,6 +17,15 @@
     }
 }
 
+/// Neighbours that have little room get no more than they have room for: the rest is refused at home.
+#[test]
+fn what_the_neighbours_have_no_room_for_is_refused_at_home() {
+    let only = Some(Fault::Crowded(0));
+    let figures = experiment(&Plan { seconds: 16, seed: 6, rate: 35, only, ..PLAN }).unwrap();
+    figures.proves().unwrap();
+    assert!(figures.refused > 0, "{}", figures.line());
+}
+
 /// A dead zone is closed by all within three seconds, and opened again.
 #[test]
 fn a_dead_zone_is_closed_by_all() {
--- a/src/zones/tests.rs
+++ b/src/zones/tests.rs
@@ -407,3 +407,66 @@
     let none = [Seen::default(), Seen { slots: 8, ..Seen::default() }, Seen::default()];
     assert_eq!(fleet.followers[1].view(fleet.now, &none).shares, [1000, 250, 250]);
 }
+
+/// How long, of a minute, dispatchers act on different tables, and how long a zone is closed to some of them and open to
+/// others, where each decides on what it hears (gossip). A fifth of the links carries nothing.
+fn apart(seed: u64) -> (f64, f64) {
+    let mut draws = fastrand::Rng::with_seed(seed);
+    let count = ZONES * EACH;
+    let cut: Vec<bool> = (0..count * count).map(|_| draws.u8(..5) == 0).collect();
+    let hears = |to: usize, from: usize| to == from || !cut[from * count + to];
+    let mut tallies: Vec<Tally> = (0..count).map(|d| Tally::new((d / EACH) as u16, ZONES, 1, 0.0)).collect();
+    let mut evidence = vec![Evidence::default(); count];
+    let mut tables = vec![Table::open(ZONES); count];
+    let mut deciders: Vec<Decider> =
+        tables.iter().map(|table| Decider::new(Rules::default(), 0.0, table)).collect();
+    let (mut differ, mut open_to_some) = (0.0, 0.0);
+    for step in 0..240 {
+        let now = f64::from(step) * STEP;
+        let dead = step % 80 >= 40;
+        let mut digests = Vec::new();
+        for (d, tally) in tallies.iter_mut().enumerate() {
+            let own = d / EACH;
+            let zone = if tables[d].zones[own].share > 0 { own } else { (own + 1) % ZONES };
+            for _ in 0..6 {
+                let end = if zone == 1 && dead { End::Refused } else { End::Answered };
+                tally.ended(zone, end, 20.0);
+            }
+            tally.roll(now);
+            digests.push(tally.digest(3, |_| (0, 60)));
+        }
+        for d in 0..count {
+            for (from, digest) in digests.iter().enumerate().filter(|(from, _)| hears(d, *from)) {
+                evidence[d].hear(now, from as Source, digest.clone(), ZONES);
+            }
+            if let Some(next) = deciders[d].decide(now, &tables[d], &evidence[d], &[false; ZONES]) {
+                tables[d] = next;
+            }
+        }
+        let shut = |table: &Table| table.zones[1].state == Closed;
+        let closed = tables.iter().filter(|table| shut(table)).count();
+        differ +=
+            if tables.iter().any(|t| t.zones.iter().zip(&tables[0].zones).any(|(a, b)| a.share != b.share)) {
+                STEP
+            } else {
+                0.0
+            };
+        open_to_some += if closed > 0 && closed < count { STEP } else { 0.0 };
+    }
+    (differ, open_to_some)
+}
+
+/// Why zones are decided on by one for all: on what each hears by itself, dispatchers differ for seconds of a minute.
+#[test]
+fn each_on_what_it_hears_differs_for_seconds() {
+    let mut gossip = (0.0, 0.0);
+    for seed in 1..=8 {
+        let (differ, open_to_some) = apart(seed);
+        gossip = (gossip.0 + differ / 8.0, gossip.1 + open_to_some / 8.0);
+    }
+    println!(
+        "gossip: tables differ for {} ms of 60 s, a closed zone is open to some for {} ms",
+        gossip.0, gossip.1
+    );
+    assert!(gossip.0 > 2000.0 && gossip.1 > 500.0, "{gossip:?}");
+}
