--- a/src/council/mod.rs
+++ b/src/council/mod.rs
@@ -302,10 +302,10 @@
                     return false;
                 }
                 unfold(&mut message);
-                if let Phase::Voting(omni) = &mut self.phase {
-                    if keeps(&mut message, omni.get_decided_idx()) {
-                        omni.handle_incoming(*message);
-                    }
+                if let Phase::Voting(omni) = &mut self.phase
+                    && keeps(&mut message, omni.get_decided_idx())
+                {
+                    omni.handle_incoming(*message);
                 }
             }
             Note::Ask { nonce } => {
