--- a/rig/src/http.rs
+++ b/rig/src/http.rs
@@ -1,8 +1,9 @@
 //! What the stand-ins share: a side of an HTTP connection, and draws by seed.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
 use std::time::Duration;
 
 /// A small generator: the same draws for a seed on every machine (splitmix64).
@@ -80,3 +81,40 @@
 pub fn status(head: &str) -> u16 {
     head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
 }
+
+/// Serves each connection of a listener on a thread of its own until the run is over.
+pub fn serve(
+    listener: TcpListener,
+    over: impl Fn() -> bool + Send + 'static,
+    each: impl Fn(TcpStream) + Send + Sync + 'static,
+) {
+    let each = Arc::new(each);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if over() {
+                return;
+            }
+            let each = Arc::clone(&each);
+            thread::spawn(move || each(stream));
+        }
+    });
+}
+
+/// Tells a dispatcher of a job's state, as a booking worker does. Whether it was heard.
+pub fn told(
+    dispatcher: SocketAddr,
+    patience: Duration,
+    id: &str,
+    from: &str,
+    state: &str,
+    result: &str,
+) -> bool {
+    let body = format!(r#"{{"id":"{id}","from":"{from}","state":"{state}","result":"{result}"}}"#);
+    let text =
+        format!("POST /v1/job-events HTTP/1.1\r\nHost: d\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let answer = Http::connect(dispatcher, patience).and_then(|mut http| {
+        http.write(&text)?;
+        http.read()
+    });
+    answer.is_ok_and(|(head, _)| matches!(status(&head), 200 | 204))
+}
--- a/rig/src/upgrade.rs
+++ b/rig/src/upgrade.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Draws, Http, header, held, status};
+use crate::http::{Draws, Http, header, held, serve, status, told};
 use crate::{RigError, tried};
 
 /// How long a client waits for its answer.
@@ -158,22 +158,18 @@
     next: AtomicU64,
 }
 
-/// Serves each connection of a listener on a thread of its own until the run is over.
-fn serve(world: &Arc<World>, listener: TcpListener, each: fn(&Arc<World>, usize, Http), number: usize) {
-    let world = Arc::clone(world);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            if world.over.load(Ordering::Relaxed) {
-                return;
+/// Has a stand-in serve a listener.
+fn stand(world: &Arc<World>, listener: TcpListener, each: fn(&Arc<World>, usize, Http), number: usize) {
+    let (world, over) = (Arc::clone(world), Arc::clone(world));
+    serve(
+        listener,
+        move || over.over.load(Ordering::Relaxed),
+        move |stream| {
+            if let Ok(http) = Http::over(stream, Duration::from_secs(120)) {
+                each(&world, number, http);
             }
-            let world = Arc::clone(&world);
-            thread::spawn(move || {
-                if let Ok(http) = Http::over(stream, Duration::from_secs(120)) {
-                    each(&world, number, http);
-                }
-            });
-        }
-    });
+        },
+    );
 }
 
 /// A booking worker: takes each job, runs it for 20 to 300 ms, and calls back until it is heard.
@@ -204,15 +200,8 @@
 
 /// Calls back on a new connection until the call is answered, ten times at most.
 fn call_back(world: &World, number: usize, id: &str, state: &str) {
-    let body = format!(r#"{{"id":"{id}","from":"s-{number}","state":"{state}","result":"{id}"}}"#);
-    let text =
-        format!("POST /v1/job-events HTTP/1.1\r\nHost: d\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     for _ in 0..10 {
-        let told = Http::connect(world.address, Duration::from_secs(2)).and_then(|mut http| {
-            http.write(&text)?;
-            http.read()
-        });
-        if told.is_ok_and(|(head, _)| matches!(status(&head), 200 | 204)) {
+        if told(world.address, Duration::from_secs(2), id, &format!("s-{number}"), state, id) {
             return;
         }
         thread::sleep(Duration::from_millis(100));
@@ -550,8 +539,8 @@
     });
     let file = notes.join("config.json");
     tried("the configuration", std::fs::write(&file, config(&world, local(&lists)?)))?;
-    workers.into_iter().enumerate().for_each(|(n, l)| serve(&world, l, worker, n));
-    serve(&world, lists, discovery, 0);
+    workers.into_iter().enumerate().for_each(|(n, l)| stand(&world, l, worker, n));
+    stand(&world, lists, discovery, 0);
     let note = micabeam::front::handover::path(&notes, address);
     let start = |full: bool| Process::start(&binary, &file, &notes, full.then_some(note.as_path()));
     let mut serving = start(false)?;
--- a/rig/src/zones.rs
+++ b/rig/src/zones.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crate::datagrams::Datagrams;
-use crate::http::{Draws, Http, header, held, status};
+use crate::http::{Draws, Http, header, held, serve, status, told};
 use crate::program::usage;
 use crate::{RigError, tried};
 
@@ -285,22 +285,14 @@
     }
 }
 
-/// Serves a listener on threads until the run is over.
-fn serve(
+/// Has a stand-in serve a listener.
+fn stand(
     world: &Arc<World>,
     listener: TcpListener,
     each: impl Fn(&Arc<World>, TcpStream) + Send + Sync + 'static,
 ) {
-    let (world, each) = (Arc::clone(world), Arc::new(each));
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            if world.over.load(Ordering::Relaxed) {
-                return;
-            }
-            let (world, each) = (Arc::clone(&world), Arc::clone(&each));
-            thread::spawn(move || each(&world, stream));
-        }
-    });
+    let (world, over) = (Arc::clone(world), Arc::clone(world));
+    serve(listener, move || over.over.load(Ordering::Relaxed), move |stream| each(&world, stream));
 }
 
 /// A worker's door for dispatchers of one zone.
@@ -350,18 +342,11 @@
 
 /// Tells the job's process of its end until it is heard, ten times at most.
 fn call_back(world: &World, zone: usize, number: usize, process: usize, id: &str) {
-    let body = format!(r#"{{"id":"{id}","from":"s-{zone}-{number}","state":"done","result":"{zone} {id}"}}"#);
-    let text =
-        format!("POST /v1/job-events HTTP/1.1\r\nHost: d\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let (from, result) = (format!("s-{zone}-{number}"), format!("{zone} {id}"));
     for _ in 0..10 {
-        if !world.parted(zone, world.home(process)) {
-            let told = Http::connect(world.clients[process], Duration::from_secs(1)).and_then(|mut http| {
-                http.write(&text)?;
-                http.read()
-            });
-            if told.is_ok_and(|(head, _)| matches!(status(&head), 200 | 204)) {
-                return;
-            }
+        let passes = !world.parted(zone, world.home(process));
+        if passes && told(world.clients[process], Duration::from_secs(1), id, &from, "done", &result) {
+            return;
         }
         thread::sleep(Duration::from_millis(100));
     }
@@ -878,13 +863,13 @@
                 hosts.push(format!(
                     r#"{{"host":"s-{zone}-{number}","dial":"{dial}","site":"z{zone}","health":"up","share":1.0,"born_ms":0}}"#
                 ));
-                serve(&world, door, move |world, stream| worker(world, zone, number, from, stream));
+                stand(&world, door, move |world, stream| worker(world, zone, number, from, stream));
             }
         }
         let list = format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, hosts.join(","));
         let door = listen()?;
         lists.push((local(&door)?, list.clone()));
-        serve(&world, door, move |world, stream| discovery(world, &list, stream));
+        stand(&world, door, move |world, stream| discovery(world, &list, stream));
     }
     for number in 0..plan.dispatchers {
         write_files(&world, dir, &lists, &addresses, &layer, number)?;
