Zones: evidence and votes in the figures and the log; many with few jobs each are believed

Change: lb_fleet_followers, lb_fleet_evidence, voters and evidence in the line of a decision; three dispatchers that tried in vain with nine failures in all find a zone down.

--- a/src/council/mod.rs
+++ b/src/council/mod.rs
@@ -130,6 +130,8 @@
     /// Ticks for which a proposal has waited for a majority.
     waits: u64,
     mark: Mark,
+    /// The voters that followed in the last round that a majority did, this one among them.
+    followers: Vec<Voter>,
     void: u64,
 }
 
@@ -150,6 +152,7 @@
             ticks: 0,
             waits: 0,
             mark: Mark::default(),
+            followers: Vec::new(),
             void: 0,
         };
         if let Some(kept) = kept {
@@ -218,6 +221,11 @@
         self.mark
     }
 
+    /// The voters that followed this one in the last round; none where it does not lead.
+    pub fn followers(&self) -> &[Voter] {
+        if self.leads() { &self.followers } else { &[] }
+    }
+
     /// Proposals that were void.
     pub fn void(&self) -> u64 {
         self.void
@@ -276,8 +284,11 @@
         }
         let states = omni.get_ui_states();
         let ballot = omni.get_promise();
-        let follow = states.heartbeats.iter().filter(|reply| reply.leader == ballot).count() as u64;
-        if (follow + 1) * 2 > self.setup.voters {
+        // A reply does not say whose it is; its own ballot does.
+        let follow = states.heartbeats.iter().filter(|reply| reply.leader == ballot);
+        let followers: Vec<Voter> = follow.map(|reply| reply.ballot.pid).chain([self.setup.own]).collect();
+        if followers.len() as u64 * 2 > self.setup.voters {
+            self.followers = followers;
             let round = if self.mark.ballot == ballot.n && self.mark.leader == ballot.pid {
                 self.mark.round + 1
             } else {
--- a/src/council/tests.rs
+++ b/src/council/tests.rs
@@ -169,6 +169,9 @@
     let leader = net.councils[&1].leader();
     assert!(net.councils.values().all(|council| council.leader() == leader));
     assert_eq!(net.councils.values().filter(|council| council.leads()).count(), 1);
+    let mut followers: Vec<Voter> = net.councils[&leader.unwrap()].followers().to_vec();
+    followers.sort_unstable();
+    assert_eq!(followers, [1, 2, 3, 4, 5]);
 }
 
 /// Guards against a fleet that stands still since the first one that led has gone.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,7 +12,9 @@
 pub use frame::{Body, Frame, FrameError, LONGEST};
 
 use crate::council::{Batch, Council, CouncilError, Kept, Setup as Seat, Voter, Write};
-use crate::zones::{Decider, Digest, Evidence, Follower, Rules, Seen, State, TOPIC, Table, Tally, View};
+use crate::zones::{
+    Decider, Digest, Evidence, Follower, Rules, Seen, Sight, State, TOPIC, Table, Tally, View,
+};
 use swim::Swim;
 
 /// A dispatcher's place among the members of the operator's file, from 0.
@@ -79,6 +81,10 @@
         leader: Option<Member>,
         /// Whether this node proposed it.
         own: bool,
+        /// The members whose votes are known to have carried its leader; at the leader alone.
+        voters: Vec<Member>,
+        /// What the fleet's dispatchers saw of each zone, at a voter.
+        sights: Vec<Sight>,
     },
 }
 
@@ -298,7 +304,8 @@
         let (epoch, table) = self.follower.newest();
         let leader = self.leader();
         let own = self.last_proposed == epoch;
-        self.effects.push(Effect::Decided { epoch, table: table.clone(), leader, own });
+        let (table, voters, sights) = (table.clone(), self.followers(), self.sights(now));
+        self.effects.push(Effect::Decided { epoch, table, leader, own, voters, sights });
         // What is new goes to all at once; voters alone have it first.
         if self.seat.is_some() {
             for member in 0..self.setup.places.len() as Member {
@@ -315,6 +322,18 @@
         self.voters.get(leader as usize - 1).copied()
     }
 
+    /// The members whose votes carry this leader; none where it does not lead.
+    pub fn followers(&self) -> Vec<Member> {
+        let followers = self.council.as_ref().map_or(&[][..], Council::followers);
+        followers.iter().filter_map(|voter| self.voters.get(*voter as usize - 1).copied()).collect()
+    }
+
+    /// What the fleet's dispatchers saw of each zone; nothing where it is no voter.
+    pub fn sights(&self, now: f64) -> Vec<Sight> {
+        let zones = if self.seat.is_some() { self.setup.zones } else { 0 };
+        (0..zones).map(|zone| self.evidence.sight(now, zone)).collect()
+    }
+
     /// Sends its sums to the voters, itself among them.
     fn tell(&mut self, now: f64, digest: Digest) {
         if self.seat.is_some() {
--- a/src/front/fleet/mod.rs
+++ b/src/front/fleet/mod.rs
@@ -20,7 +20,7 @@
 use super::Gateway;
 use crate::core::{Clock, Core};
 use crate::fleet::{Counts, Effect, LONGEST, Member, Node, Setup};
-use crate::zones::{Standing, State, Table};
+use crate::zones::{Sight, Standing, State, Table};
 use disk::Disk;
 
 /// While another process holds the address, as the one that an upgrade replaces, it is tried again so often, in
@@ -244,16 +244,14 @@
                         core.steer(self.zones.iter().map(share).collect(), view.admit);
                     }
                 }
-                Effect::Decided { epoch, table, leader, own } => {
-                    let leader = leader.and_then(|at| self.config.names.get(usize::from(at)));
-                    let states = states(&self.config.zones, &table);
-                    tracing::info!(
-                        epoch,
-                        leader = leader.map_or("", String::as_str),
-                        own,
-                        states,
-                        "zones decided"
-                    );
+                Effect::Decided { epoch, table, leader, own, voters, sights } => {
+                    let name =
+                        |at: &Member| self.config.names.get(usize::from(*at)).map_or("", String::as_str);
+                    let (leader, states) =
+                        (leader.as_ref().map_or("", name), states(&self.config.zones, &table));
+                    let voters = voters.iter().map(name).collect::<Vec<_>>().join(",");
+                    let evidence = evidence(&self.config.zones, &sights);
+                    tracing::info!(epoch, leader, own, states, voters, evidence, "zones decided");
                 }
             }
         }
@@ -310,6 +308,27 @@
         row("lb_fleet_members_up", "gauge", "Members that are there.", &one(up as f64));
         row("lb_fleet_leads", "gauge", "Whether it leads the council.", &one(flag(node.leads())));
         row("lb_fleet_votes", "gauge", "Whether it votes.", &one(flag(node.votes() == Some(true))));
+        let followers = node.followers().len() as f64;
+        row(
+            "lb_fleet_followers",
+            "gauge",
+            "Voters that follow it, itself among them; 0: no leader.",
+            &one(followers),
+        );
+        let mut seen = Vec::new();
+        for (zone, sight) in self.config.zones.iter().zip(node.sights(self.clock.now())) {
+            let zone = crate::telemetry::escape(zone);
+            let parts = [("answered", sight.answered), ("refused", sight.refused), ("silent", sight.silent)];
+            for (what, count) in parts.into_iter().chain([("sources", sight.sources)]) {
+                seen.push((format!("{{zone=\"{zone}\",what=\"{what}\"}}"), f64::from(count)));
+            }
+        }
+        row(
+            "lb_fleet_evidence",
+            "gauge",
+            "What dispatchers saw of a zone in the last second; at voters.",
+            &seen,
+        );
         let zones = |of: &dyn Fn(usize) -> f64| -> Vec<(String, f64)> {
             let each = self.config.zones.iter().enumerate();
             each.map(|(at, zone)| (format!("{{zone=\"{}\"}}", crate::telemetry::escape(zone)), of(at)))
@@ -337,6 +356,14 @@
     }
 }
 
+/// What was seen of the zones in a line, as `a=answered/refused/silent/sources`.
+fn evidence(names: &[String], sights: &[Sight]) -> String {
+    let each = names.iter().zip(sights);
+    let each =
+        each.map(|(name, s)| format!("{name}={}/{}/{}/{}", s.answered, s.refused, s.silent, s.sources));
+    each.collect::<Vec<_>>().join(" ")
+}
+
 /// The zones' states in a line, as `a=open b=closed`.
 fn states(names: &[String], table: &Table) -> String {
     let word = |state: State| match state {
--- a/src/zones/evidence.rs
+++ b/src/zones/evidence.rs
@@ -16,6 +16,9 @@
 pub const FRESH: f64 = 1500.0;
 /// Fewer ends than these in a window say nothing of a zone.
 const FEW: u32 = 3;
+/// So many dispatchers that saw fewer ends each say something together, if they saw so many failures in all.
+const MANY: usize = 3;
+const ENOUGH: u32 = 9;
 
 /// How a dispatch to a zone ended, as far as the zone goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -214,6 +217,19 @@
     Cut,
 }
 
+/// What all dispatchers saw of a zone, in sum.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sight {
+    /// Dispatchers that tried it.
+    pub sources: u32,
+    /// Dispatches that were answered.
+    pub answered: u32,
+    /// Connections that were refused or broke.
+    pub refused: u32,
+    /// Dispatches that met silence.
+    pub silent: u32,
+}
+
 /// The newest digest of each dispatcher.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -244,6 +260,16 @@
         self.newest.values().filter(move |(_, heard)| now - heard <= FRESH).map(|(digest, _)| digest)
     }
 
+    /// What all saw of a zone.
+    pub fn sight(&self, now: f64, zone: usize) -> Sight {
+        self.fresh(now).filter_map(|digest| digest.seen.get(zone)).fold(Sight::default(), |sum, seen| Sight {
+            sources: sum.sources + u32::from(seen.answered > 0 || seen.refused > 0 || seen.silent > 0),
+            answered: sum.answered + u32::from(seen.answered),
+            refused: sum.refused + u32::from(seen.refused),
+            silent: sum.silent + u32::from(seen.silent),
+        })
+    }
+
     /// What is known of a zone; `peopled` where the operator's file has dispatchers in it.
     pub fn judge(&self, now: f64, zone: usize, peopled: bool) -> Verdict {
         let fresh: Vec<&Digest> = self.fresh(now).collect();
@@ -265,6 +291,17 @@
                 good += 1;
             }
         }
+        // Of dispatchers with few jobs each no one alone has enough: together they may.
+        let all = self.sight(now, zone);
+        let failed = all.refused + all.silent;
+        let in_vain = |d: &&&Digest| {
+            let seen = &d.seen[zone];
+            seen.answered == 0 && (seen.refused > 0 || seen.silent > 0)
+        };
+        let in_vain = fresh.iter().filter(believed).filter(in_vain).count();
+        if in_vain >= MANY && failed >= ENOUGH && failed > all.answered * 3 {
+            return Verdict::Down { dead: all.answered == 0 && all.refused > all.silent };
+        }
         let at_home = fresh.iter().filter(|d| usize::from(d.zone) == zone).count();
         match (fails, good) {
             (0, 0) if peopled && at_home == 0 && !fresh.is_empty() => Verdict::Cut,
--- a/src/zones/mod.rs
+++ b/src/zones/mod.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 pub use decide::{Decider, Rules};
-pub use evidence::{Digest, End, Evidence, FRESH, STEP, Seen, Source, Tally, Verdict};
+pub use evidence::{Digest, End, Evidence, FRESH, STEP, Seen, Sight, Source, Tally, Verdict};
 pub use follow::{Follower, Gate, Standing, View};
 
 use serde::{Deserialize, Serialize};
--- a/src/zones/tests.rs
+++ b/src/zones/tests.rs
@@ -266,6 +266,26 @@
     assert_eq!(taken, usize::from(admit));
 }
 
+/// Many dispatchers with a job or two a second each: together they have seen enough.
+#[test]
+fn many_with_few_jobs_each_find_a_dead_zone() {
+    let mut evidence = Evidence::default();
+    let digest = |source: u16, seen: Seen| {
+        let seen = vec![Seen { answered: 1, ..Seen::default() }, seen, Seen::default()];
+        Digest { session: 1, number: 1, zone: 1 + source % 2, open: 1, arrived: 2, turned: 0, seen }
+    };
+    let two = Seen { refused: 2, ..Seen::default() };
+    for source in 0..4 {
+        evidence.hear(0.0, source, digest(source, two), ZONES);
+    }
+    assert_eq!(evidence.judge(1.0, 1, true), Verdict::Unknown, "eight failures are not enough");
+    evidence.hear(0.0, 4, digest(4, two), ZONES);
+    assert_eq!(evidence.judge(1.0, 1, true), Verdict::Down { dead: true });
+    let works = Seen { answered: 4, ..Seen::default() };
+    evidence.hear(0.0, 5, digest(5, works), ZONES);
+    assert_eq!(evidence.judge(1.0, 1, true), Verdict::Good, "one server of several that is down fails few");
+}
+
 /// Spill goes by free capacity, not to the next in order.
 #[test]
 fn spill_is_split_by_free_capacity() {
