--- a/rig/src/zones.rs
+++ b/rig/src/zones.rs
@@ -55,6 +55,8 @@
     AllRestarted,
     /// The voters are split into two and three.
     Split,
+    /// The voters are split into two, two and one.
+    SplitInThree,
     /// Jobs take so long that zones have little room, and then a zone dies.
     Crowded(usize),
 }
@@ -74,6 +76,7 @@
             Fault::Lossy,
             Fault::AllRestarted,
             Fault::Split,
+            Fault::SplitInThree,
             Fault::Crowded(0),
         ];
         all.into_iter().find(|fault| format!("{fault:?}").split('(').next() == Some(name))
@@ -683,6 +686,14 @@
                 thread::sleep(lasts);
                 self.layer.change(|w| w.cut.clear());
             }
+            Fault::SplitInThree => {
+                // Voters are spread evenly: the first two, the next two, and the last.
+                let part = |a: usize| ((a * 5 + 4) / count) / 2;
+                let pairs = (0..count).flat_map(|a| (0..count).map(move |b| (a, b)));
+                self.layer.change(|w| w.cut.extend(pairs.filter(|(a, b)| part(*a) != part(*b))));
+                thread::sleep(lasts);
+                self.layer.change(|w| w.cut.clear());
+            }
             Fault::LeaderKilled => {
                 let leader = self.leader();
                 self.gone(leader);
@@ -771,7 +782,7 @@
     let mut kinds: Vec<u64> = Vec::new();
     while left >= 4000 {
         if kinds.is_empty() {
-            kinds = (0..11).collect();
+            kinds = (0..12).collect();
         }
         let kind = kinds.swap_remove(draws.below(kinds.len() as u64) as usize);
         let zone = draws.below(plan.zones as u64) as usize;
@@ -788,6 +799,7 @@
             7 => Fault::AllSlow,
             8 => Fault::Lossy,
             9 => Fault::AllRestarted,
+            10 => Fault::SplitInThree,
             _ => Fault::Split,
         };
         let fault = plan.only.unwrap_or(fault);
@@ -951,6 +963,7 @@
                 Fault::ZoneCut(_)
                     | Fault::Alone(_)
                     | Fault::Split
+                    | Fault::SplitInThree
                     | Fault::AllRestarted
                     | Fault::LeaderKilled
             ) && read.at >= p.from
@@ -972,7 +985,7 @@
                 let of = match p.fault {
                     Fault::ZoneDead(z) | Fault::ZoneCut(z) | Fault::Flaps(z) | Fault::Crowded(z) => z == zone,
                     // The zones of those that the majority does not hear are cut off as well.
-                    Fault::Split | Fault::AllRestarted => true,
+                    Fault::Split | Fault::SplitInThree | Fault::AllRestarted => true,
                     _ => false,
                 };
                 of && at >= p.from && at <= p.until + Duration::from_secs(4)
--- a/rig/tests/zones.rs
+++ b/rig/tests/zones.rs
@@ -26,6 +26,28 @@
     assert!(figures.refused > 0, "{}", figures.line());
 }
 
+/// Each fault that the drawn ones may have left out, by itself.
+#[test]
+fn each_hard_case_by_itself_breaks_no_rule() {
+    let cases = [
+        Fault::ZoneCut(2),
+        Fault::OneWay(0, 4),
+        Fault::Alone(3),
+        Fault::LeaderKilled,
+        Fault::LeaderFrozen,
+        Fault::SplitInThree,
+        Fault::AllSlow,
+        Fault::Lossy,
+    ];
+    for (at, fault) in cases.into_iter().enumerate() {
+        let plan = Plan { seconds: 6, seed: 10 + at as u64, only: Some(fault), ..PLAN };
+        let figures = experiment(&plan).unwrap();
+        println!("{fault:?}: {}", figures.line());
+        figures.proves().unwrap_or_else(|e| panic!("{fault:?}: {e}"));
+        assert!(figures.share() > 0.9, "{fault:?}: {}", figures.line());
+    }
+}
+
 /// A dead zone is closed by all within three seconds, and opened again.
 #[test]
 fn a_dead_zone_is_closed_by_all() {
