--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -41,3 +41,14 @@
 pub fn tried<T>(what: &str, result: std::io::Result<T>) -> Result<T, RigError> {
     result.map_err(|cause| RigError::System { what: what.into(), cause })
 }
+
+/// Whether a proof holds: each of these is 0, and half of the jobs were served at least.
+pub fn proved(zeros: &[(&str, u64)], jobs: u64, served: u64) -> Result<(), RigError> {
+    match zeros.iter().find(|zero| zero.1 > 0) {
+        Some((name, count)) => Err(RigError::Disproved(format!("{name} is {count}"))),
+        None if jobs == 0 || served * 2 < jobs => {
+            Err(RigError::Disproved("less than half of the jobs were served".into()))
+        }
+        None => Ok(()),
+    }
+}
--- a/rig/src/upgrade.rs
+++ b/rig/src/upgrade.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Draws, Http, header, held, serve, status, told};
-use crate::{RigError, tried};
+use crate::{RigError, proved, tried};
 
 /// How long a client waits for its answer.
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -129,13 +129,7 @@
             ("unsafe_ran_twice", self.unsafe_ran_twice),
             ("late_drains", self.late_drains),
         ];
-        match zeros.into_iter().find(|z| z.1 > 0) {
-            Some((name, count)) => Err(RigError::Disproved(format!("{name} is {count}"))),
-            None if self.jobs == 0 || self.served * 2 < self.jobs => {
-                Err(RigError::Disproved("less than half of the jobs were served".into()))
-            }
-            None => Ok(()),
-        }
+        proved(&zeros, self.jobs, self.served)
     }
 }
 
--- a/rig/src/zones.rs
+++ b/rig/src/zones.rs
@@ -14,7 +14,7 @@
 use crate::datagrams::Datagrams;
 use crate::http::{Draws, Http, header, held, serve, status, told};
 use crate::program::usage;
-use crate::{RigError, tried};
+use crate::{RigError, proved, tried};
 
 /// How long a client waits for its answer.
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -204,13 +204,7 @@
             ("fallen", self.fallen),
             ("late_drains", self.late_drains),
         ];
-        match zeros.into_iter().find(|z| z.1 > 0) {
-            Some((name, count)) => Err(RigError::Disproved(format!("{name} is {count}"))),
-            None if self.jobs == 0 || self.served * 2 < self.jobs => {
-                Err(RigError::Disproved("less than half of the jobs were served".into()))
-            }
-            None => Ok(()),
-        }
+        proved(&zeros, self.jobs, self.served)
     }
 }
 
@@ -1023,7 +1017,7 @@
             for (at, read) in own.iter().enumerate().filter(|(_, read)| closed(read)) {
                 let until = own.get(at + 1).filter(|next| !closed(next)).map(|next| next.at);
                 let known =
-                    own[..at].iter().rposition(|r| !closed(r)).map_or(read.at, |open| own[open + 1].at);
+                    own[..at].iter().rposition(|r| !closed(r)).map_or(own[0].at, |open| own[open + 1].at);
                 let next = own.get(at + 1).map(|next| next.at);
                 let since = read.at.max(known + DRAIN);
                 let late = held(&world.arrivals)
