Ask a silent watch anew at once; untie three circles; one Process for the rigs

Cause: a watch that had fallen silent was given up 2.5 s after its wait, and the module then called again at its own pace, up to 24 s later where dispatchers are many; what it misses counts as told 2 s after the wait, and a drain is to be followed 2 s later. Waits beyond 16 dispatchers were 27 to 55 s for any number of them. Change: 2 s after its wait a silent watch is asked anew on a new connection, without a wait; only if that is silent too the module hears of a failure. Waits grow with the number of dispatchers (300: as before; 30: 3.6 to 7.2 s), so that all together begin a third of the calls that discovery gets through. Way not taken: shorter waits for all, which 300 dispatchers cannot afford.

--- a/rig/src/datagrams.rs
+++ b/rig/src/datagrams.rs
@@ -10,7 +10,7 @@
 
 use rustix::event::{PollFd, PollFlags, poll};
 
-use crate::http::{Draws, held};
+use crate::http::held;
 use crate::{RigError, tried};
 
 /// Longest datagram.
@@ -68,7 +68,7 @@
             over: Arc::clone(&over),
             passed: Arc::clone(&passed),
             bytes: Arc::clone(&bytes),
-            draws: Draws(seed),
+            draws: fastrand::Rng::with_seed(seed),
         };
         let thread = Some(thread::spawn(move || layer.run()));
         Ok(Datagrams { weather, over, passed, bytes, thread, doors })
@@ -106,7 +106,7 @@
     over: Arc<AtomicBool>,
     passed: Arc<AtomicU64>,
     bytes: Arc<AtomicU64>,
-    draws: Draws,
+    draws: fastrand::Rng,
 }
 
 impl Layer {
@@ -145,11 +145,11 @@
                 while let Ok((length, _)) = self.sockets[at].2.recv_from(&mut buffer) {
                     self.passed.fetch_add(1, Ordering::Relaxed);
                     self.bytes.fetch_add(length as u64, Ordering::Relaxed);
-                    let lost = weather.cut.contains(&(from, to)) || self.draws.below(1000) < weather.lost;
-                    let copies = 1 + u64::from(self.draws.below(1000) < weather.doubled);
+                    let lost = weather.cut.contains(&(from, to)) || self.draws.u64(..1000) < weather.lost;
+                    let copies = 1 + u64::from(self.draws.u64(..1000) < weather.doubled);
                     for _ in 0..if lost { 0 } else { copies } {
                         number += 1;
-                        let delay = Duration::from_millis(self.draws.below(weather.delay_ms + 1));
+                        let delay = Duration::from_millis(self.draws.u64(..weather.delay_ms + 1));
                         if under_way.len() < UNDER_WAY {
                             let due = std::cmp::Reverse((Instant::now() + delay, number));
                             under_way.push((due, from, to, buffer[..length].to_vec()));
--- a/rig/src/http.rs
+++ b/rig/src/http.rs
@@ -1,4 +1,4 @@
-//! What the stand-ins share: a side of an HTTP connection, and draws by seed.
+//! What the stand-ins share: a side of an HTTP connection.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -6,19 +6,6 @@
 use std::thread;
 use std::time::Duration;
 
-/// A small generator: the same draws for a seed on every machine (splitmix64).
-pub struct Draws(pub u64);
-
-impl Draws {
-    /// A number below a bound.
-    pub fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (z ^ (z >> 31)) % bound
-    }
-}
-
 /// What a lock holds, whoever panicked with it.
 pub fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
     lock.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod http;
 pub mod peers;
+pub mod process;
 pub mod program;
 pub mod relay;
 pub mod stores;
--- a/rig/src/upgrade.rs
+++ b/rig/src/upgrade.rs
@@ -2,24 +2,23 @@
 //! and faults at the seam by seed. What is judged is what clients and workers saw.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Draws, Http, header, held, serve, status, told};
+use crate::http::{Http, header, held, serve, status, told};
+use crate::process::Process;
 use crate::{RigError, proved, tried};
 
 /// How long a client waits for its answer.
 const DEADLINE: Duration = Duration::from_secs(4);
 /// How long after the news of a drain new jobs may still come.
 const DRAIN: Duration = Duration::from_millis(2050);
-/// How long a step of an upgrade may take.
-const PATIENCE: Duration = Duration::from_secs(20);
 /// How long a process is frozen.
 const FREEZE: Duration = Duration::from_secs(1);
 /// Booking workers.
@@ -184,9 +183,9 @@
         }
         let world = Arc::clone(world);
         thread::spawn(move || {
-            let mut draws = Draws(id.bytes().fold(7, |sum, b| sum * 31 + u64::from(b)));
+            let mut draws = fastrand::Rng::with_seed(id.bytes().fold(7, |sum, b| sum * 31 + u64::from(b)));
             call_back(&world, number, &id, "started");
-            thread::sleep(Duration::from_millis(20 + draws.below(280)));
+            thread::sleep(Duration::from_millis(20 + draws.u64(..280)));
             call_back(&world, number, &id, "done");
         });
     }
@@ -311,99 +310,42 @@
     }
 }
 
-/// A process of the program, killed when it is dropped.
-struct Process {
-    child: Child,
-    console: SocketAddr,
-}
-
-impl Process {
-    /// Starts it and waits until it listens. On a full disk what it writes its note to has no room: the shell that
-    /// becomes it knows its id.
-    fn start(binary: &Path, config: &Path, notes: &Path, full: Option<&Path>) -> Result<Process, RigError> {
-        let mut command = Command::new(full.map_or(binary, |_| Path::new("/bin/sh")));
-        if let Some(note) = full {
-            command.args(["-c", r#"ln -s /dev/full "$0.$$" && exec "$1""#]).arg(note).arg(binary);
-        }
-        for variable in ["LB_LISTEN", "LB_DISCOVERY", "LB_NAME", "LB_CONSOLE"] {
-            command.env_remove(variable);
-        }
-        command.env("LB_CONFIG", config).env("TMPDIR", notes);
-        let mut child = tried("the program", command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn())?;
-        let mut out = BufReader::new(child.stdout.take().ok_or(RigError::Program("no output".into()))?);
-        let mut console = None;
-        for _ in 0..2 {
-            let mut line = String::new();
-            tried("its output", out.read_line(&mut line))?;
-            console = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        }
-        match console {
-            Some(console) => Ok(Process { child, console }),
-            None => {
-                let _ = child.kill();
-                Err(RigError::Program("it does not listen".into()))
-            }
-        }
-    }
-
-    fn ready(&self) -> bool {
-        let ask = || -> std::io::Result<bool> {
-            let mut stream = TcpStream::connect(self.console)?;
-            stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-            stream.write_all(b"readyz\n")?;
-            let mut answer = String::new();
-            stream.read_to_string(&mut answer)?;
-            Ok(answer.starts_with("ACK"))
-        };
-        ask().unwrap_or(false)
-    }
-
-    fn await_ready(&self) -> Result<(), RigError> {
-        let end = Instant::now() + PATIENCE;
-        while !self.ready() {
-            if Instant::now() > end {
-                return Err(RigError::Program("it never says that it is ready".into()));
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        Ok(())
-    }
-
-    fn signal(&self, name: &str) -> Result<(), RigError> {
-        let line = format!("kill -{name} {}", self.child.id());
-        tried("kill", Command::new("/bin/sh").args(["-c", &line]).status()).map(drop)
+/// Starts a process. On a full disk what it writes its note to has no room: the shell that becomes it knows its id.
+fn start_process(
+    binary: &Path,
+    config: &Path,
+    notes: &Path,
+    full: Option<&Path>,
+) -> Result<Process, RigError> {
+    let mut command = Command::new(full.map_or(binary, |_| Path::new("/bin/sh")));
+    if let Some(note) = full {
+        command.args(["-c", r#"ln -s /dev/full "$0.$$" && exec "$1""#]).arg(note).arg(binary);
     }
+    command.env("LB_CONFIG", config).env("TMPDIR", notes);
+    Process::start(command)
+}
 
-    /// Waits for its end, at a kill after the time that the platform gives; how many call-backs it passed on.
-    fn end(mut self, world: &World) -> Result<u64, RigError> {
-        let end = Instant::now() + Duration::from_millis(3700);
-        while tried("its end", self.child.try_wait())?.is_none() {
-            if Instant::now() > end {
-                held(&world.kills).push(Instant::now());
-                let _ = self.child.kill();
-            }
-            thread::sleep(Duration::from_millis(5));
-        }
-        let mut text = String::new();
-        if let Some(mut log) = self.child.stderr.take() {
-            tried("its log", log.read_to_string(&mut text))?;
+/// Waits for a process's end, at a kill after the time that the platform gives; how many call-backs it passed on.
+fn end(mut process: Process, world: &World) -> Result<u64, RigError> {
+    let end = Instant::now() + Duration::from_millis(3700);
+    while !process.ended()? {
+        if Instant::now() > end {
+            held(&world.kills).push(Instant::now());
+            process.kill();
         }
-        let passed = text.lines().find_map(|l| l.strip_prefix("passed_on ")?.parse().ok());
-        Ok(passed.unwrap_or(0))
+        thread::sleep(Duration::from_millis(5));
     }
-
-    fn kill(mut self, world: &World) {
-        held(&world.kills).push(Instant::now());
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    let mut text = String::new();
+    if let Some(mut log) = process.log() {
+        tried("its log", log.read_to_string(&mut text))?;
     }
+    let passed = text.lines().find_map(|l| l.strip_prefix("passed_on ")?.parse().ok());
+    Ok(passed.unwrap_or(0))
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+fn kill(process: Process, world: &World) {
+    held(&world.kills).push(Instant::now());
+    drop(process);
 }
 
 fn config(world: &World, discovery: SocketAddr) -> String {
@@ -457,19 +399,19 @@
 ) -> Result<Process, RigError> {
     let new = start(fault == Fault::Full)?;
     if fault == Fault::NewDiesBefore {
-        new.kill(world);
+        kill(new, world);
         return Ok(old);
     }
     new.await_ready()?;
     if fault == Fault::NewDiesAfter {
-        new.kill(world);
+        kill(new, world);
         return Ok(old);
     }
     let new = if fault == Fault::Third {
         let third = start(false)?;
         third.await_ready()?;
         new.signal("TERM")?;
-        let passed = new.end(world)?;
+        let passed = end(new, world)?;
         held(&world.figures).callbacks_other += passed;
         third
     } else {
@@ -480,7 +422,7 @@
         Fault::Both => {
             new.signal("TERM")?;
             world.deserted.store(true, Ordering::Relaxed);
-            let passed = old.end(world)? + new.end(world)?;
+            let passed = end(old, world)? + end(new, world)?;
             held(&world.figures).callbacks_other += passed;
             let next = start(false)?;
             next.await_ready()?;
@@ -489,7 +431,7 @@
         }
         Fault::OldKilled => {
             thread::sleep(Duration::from_millis(200));
-            old.kill(world);
+            kill(old, world);
             return Ok(new);
         }
         Fault::OldFrozen => {
@@ -501,7 +443,7 @@
         }
         _ => {}
     }
-    let passed = old.end(world)?;
+    let passed = end(old, world)?;
     held(&world.figures).callbacks_other += passed;
     Ok(new)
 }
@@ -536,7 +478,7 @@
     workers.into_iter().enumerate().for_each(|(n, l)| stand(&world, l, worker, n));
     stand(&world, lists, discovery, 0);
     let note = micabeam::front::handover::path(&notes, address);
-    let start = |full: bool| Process::start(&binary, &file, &notes, full.then_some(note.as_path()));
+    let start = |full: bool| start_process(&binary, &file, &notes, full.then_some(note.as_path()));
     let mut serving = start(false)?;
     serving.await_ready()?;
     let clients = (plan.rate / 4).clamp(1, 64);
@@ -547,21 +489,21 @@
             thread::spawn(move || client(&world, pause))
         })
         .collect();
-    let mut draws = Draws(plan.seed);
+    let mut draws = fastrand::Rng::with_seed(plan.seed);
     for number in 0..plan.rounds {
-        let fault = FAULTS[draws.below(FAULTS.len() as u64) as usize];
+        let fault = FAULTS[draws.u64(..FAULTS.len() as u64) as usize];
         println!("round {number}: {fault:?}");
         {
             let mut list = held(&world.list);
-            let drains = draws.below(WORKERS as u64 + 1) as usize;
+            let drains = draws.u64(..WORKERS as u64 + 1) as usize;
             *list = (list.0 + 1, (drains < WORKERS).then(|| (drains, Instant::now())));
         }
         damage(&notes, fault)?;
         if fault == Fault::Full {
-            let memory = note.with_extension(format!("memory.{}", serving.child.id()));
+            let memory = note.with_extension(format!("memory.{}", serving.id()));
             tried("a full disk", std::os::unix::fs::symlink("/dev/full", memory))?;
         }
-        thread::sleep(Duration::from_millis(draws.below(300)));
+        thread::sleep(Duration::from_millis(draws.u64(..300)));
         serving = round(&world, serving, fault, &start)?;
         if matches!(fault, Fault::NoRoom | Fault::Full) {
             for entry in tried("the notes", std::fs::read_dir(&notes))?.flatten() {
@@ -578,7 +520,7 @@
         thread.join().map_err(|_| RigError::Disproved("a client panicked".into()))?;
     }
     serving.signal("TERM")?;
-    let passed = serving.end(&world)?;
+    let passed = end(serving, &world)?;
     let _ = std::fs::remove_dir_all(&notes);
     let number = |id: &str| id[1..].parse::<u64>().unwrap_or(0);
     let runs = held(&world.runs);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,7 @@
 pub use clock::{Clock, micros, millis};
 pub use counters::Counters;
 pub use session::{Dispatch, Request, Session, SessionId, Verdict};
-pub use steer::Seen;
+pub use steer::Happened;
 pub use table::{Line, Server, ServerTable};
 
 use crate::Dispatcher;
@@ -136,7 +136,7 @@
 
     /// A session's client has left.
     pub fn client_left(&mut self, session: SessionId) {
-        stages::book::client_left(self, session);
+        stages::relay::client_left(self, session);
     }
 
     /// A dispatch has ended; `result` is what it served. False if it was over already.
@@ -195,7 +195,7 @@
     }
 
     /// Tells what has happened since the last look.
-    pub fn seen(&mut self, mut tell: impl FnMut(Seen)) {
+    pub fn seen(&mut self, mut tell: impl FnMut(Happened)) {
         if let Some(steer) = &mut self.steer {
             steer.seen.drain(..).for_each(&mut tell);
         }
--- a/src/core/stages/book.rs
+++ b/src/core/stages/book.rs
@@ -1,7 +1,5 @@
 //! Book: a session's one final answer, and its end.
 
-use crate::api::{Event, JobId};
-use crate::core::stages::route;
 use crate::core::{Command, Core, SessionId, Verdict};
 use crate::telemetry::Disposition;
 
@@ -29,15 +27,6 @@
     core.commands.push_back(Command::Answer { session: id, verdict });
 }
 
-/// The client has left: nothing is owed any more, and the module calls off what is out.
-pub fn client_left(core: &mut Core, id: SessionId) {
-    let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
-    session.over = true;
-    core.ended.push(id);
-    core.counters.left += 1;
-    route::drive(core, Event::ClientLeft(JobId(id)));
-}
-
 /// Forgets sessions that are over, once the module has called off their other dispatches.
 pub fn forget(core: &mut Core) {
     for id in core.ended.drain(..) {
--- a/src/core/stages/relay.rs
+++ b/src/core/stages/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{Ended, Event, JobId, Outcome, Report};
 use crate::core::stages::{book, route};
-use crate::core::{Core, Seen, SessionId, Verdict, micros, millis, steer};
+use crate::core::{Core, Happened, SessionId, Verdict, micros, millis, steer};
 
 /// The end of a dispatch. One that is over already is counted and changes nothing, so that news that repeat or
 /// come late cannot answer a session twice.
@@ -29,7 +29,7 @@
         && let Some(end) = steer::end(outcome)
         && let Some(server) = core.table.get(worker)
     {
-        steer.note(Seen::Ended { zone: server.line.member.zone, end, took: millis(latency) });
+        steer.note(Happened::Ended { zone: server.line.member.zone, end, took: millis(latency) });
     }
     match outcome {
         Outcome::Served => book::answer(core, id, Verdict::Served(result)),
@@ -85,3 +85,12 @@
     }
     true
 }
+
+/// The client has left: nothing is owed any more, and the module calls off what is out.
+pub fn client_left(core: &mut Core, id: SessionId) {
+    let Some(session) = core.sessions.get_mut(&id).filter(|s| !s.over) else { return };
+    session.over = true;
+    core.ended.push(id);
+    core.counters.left += 1;
+    route::drive(core, Event::ClientLeft(JobId(id)));
+}
--- a/src/core/steer.rs
+++ b/src/core/steer.rs
@@ -9,7 +9,7 @@
 
 /// What has happened since the last look.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Seen {
+pub enum Happened {
     /// A request came, and was turned away since zones have no room, or not.
     Came {
         /// It was turned away.
@@ -34,7 +34,7 @@
     /// What of the requests is taken.
     pub(super) admit: u16,
     gate: Gate,
-    pub(super) seen: Vec<Seen>,
+    pub(super) seen: Vec<Happened>,
 }
 
 impl Steer {
@@ -42,7 +42,7 @@
         Steer { shares: vec![WHOLE; zones], admit: WHOLE, gate: Gate::default(), seen: Vec::new() }
     }
 
-    pub(super) fn note(&mut self, seen: Seen) {
+    pub(super) fn note(&mut self, seen: Happened) {
         if self.seen.len() < KEPT {
             self.seen.push(seen);
         }
@@ -51,7 +51,7 @@
     /// Whether the next request is taken.
     pub(super) fn takes(&mut self) -> bool {
         let takes = self.admit >= WHOLE || self.gate.takes(self.admit);
-        self.note(Seen::Came { turned: !takes });
+        self.note(Happened::Came { turned: !takes });
         takes
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,9 +12,7 @@
 pub use frame::{Body, Frame, FrameError, LONGEST};
 
 use crate::council::{Batch, Council, CouncilError, Kept, Setup as Seat, Voter, Write};
-use crate::zones::{
-    Decider, Digest, Evidence, Follower, Rules, Seen, Sight, State, TOPIC, Table, Tally, View,
-};
+use crate::zones::{Decider, Digest, Evidence, Follower, Rules, Seen, Sight, TOPIC, Table, Tally, View};
 use swim::Swim;
 
 /// A dispatcher's place among the members of the operator's file, from 0.
@@ -462,9 +460,4 @@
     pub fn view(&self) -> Option<&View> {
         self.view.as_ref()
     }
-
-    /// Zones that are closed.
-    pub fn closed(&self) -> usize {
-        self.newest().1.zones.iter().filter(|zone| zone.state == State::Closed).count()
-    }
 }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 use crate::council::file;
-use crate::zones::{End, Standing};
+use crate::zones::{End, Standing, State};
 
 const ZONES: usize = 3;
 const EACH: usize = 3;
--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -4,7 +4,7 @@
 
 use super::Sockets;
 use crate::api::{Member, MemberState, Settings, WorkerId};
-use crate::core::{Core, Line, micros};
+use crate::core::{Core, Line, micros, millis};
 use crate::json::{self, JsonValue, flag, number, text};
 use crate::net::ConnId;
 use crate::net::http;
@@ -12,20 +12,32 @@
 
 /// How long a call waits for news, in milliseconds.
 const WAIT: f64 = 10_000.0;
-/// How much later its answer may come: discovery works through calls in turn.
+/// How long a call that need not wait may take: discovery works through calls in turn.
 const GRACE: f64 = 2_500.0;
+/// A watch that has not answered so long after its wait was over has fallen silent: what it missed counts as told by
+/// then, and a drain is to be followed 2 s later.
+const SILENT: f64 = 2_000.0;
 /// Time between an answer and the next call of the watch: a watch breaks after 200 ms.
 const PAUSE: f64 = 40.0;
-/// The same where dispatchers are many.
+/// The same where dispatchers are many, at most. Waits grow with their number, so that all of them together begin a
+/// third of the calls that discovery gets through.
 const LONG_WAIT: f64 = 55_000.0;
+const WAITS: f64 = 3.0;
 /// A call that has been out for longer may have fallen silent, and is given up where another is asked for.
 const FRESH: f64 = 1_000.0;
 
 /// The state of the watch.
 enum Watch {
     Off,
-    Calling { since: f64, until: f64 },
-    Pausing { until: f64 },
+    Calling {
+        since: f64,
+        until: f64,
+        /// It may wait for news: its silence says that the watch is broken, not that discovery is.
+        waits: bool,
+    },
+    Pausing {
+        until: f64,
+    },
 }
 
 /// What a call has brought.
@@ -96,10 +108,25 @@
             }
             self.hang_up(net);
         }
+        let wait = self.seq.map_or(0.0, |_| self.longest(settings));
+        self.ask(net, now, wait)
+    }
+
+    /// How long a call may wait for news.
+    fn longest(&mut self, settings: &Settings) -> f64 {
+        if !settings.many() {
+            return WAIT;
+        }
+        let all = f64::from(settings.dispatchers) * millis(Settings::CALL_EACH) * WAITS;
         // Guards against many dispatchers that come back at one time as nothing has changed for long.
-        let longest = if settings.many() { LONG_WAIT * (0.5 + 0.5 * self.rng.f64()) } else { WAIT };
-        let wait = self.seq.map_or(0.0, |_| longest);
-        self.watch = Watch::Calling { since: now, until: now + wait + GRACE };
+        all.min(LONG_WAIT) * (0.5 + 0.5 * self.rng.f64())
+    }
+
+    /// Asks for what is newer than the version held, and lets the call wait so long for it.
+    fn ask(&mut self, net: &mut Sockets, now: f64, wait: f64) -> Option<Heard> {
+        let waits = wait > 0.0;
+        let until = now + wait + if waits { SILENT } else { GRACE };
+        self.watch = Watch::Calling { since: now, until, waits };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
         let conn = match self.conn.filter(fresh) {
             Some(conn) => Ok(conn),
@@ -184,6 +211,12 @@
     /// Does what is due by now.
     pub fn tick(&mut self, net: &mut Sockets, now: f64, settings: &Settings) -> Option<Heard> {
         match self.watch {
+            // Guards against a watch that has fallen silent and is missed only when the module calls again: it is
+            // asked anew at once, on a new connection. Watches of many end at unlike times, so that this is no rush.
+            Watch::Calling { until, waits: true, .. } if until <= now => {
+                self.hang_up(net);
+                self.ask(net, now, 0.0)
+            }
             Watch::Calling { until, .. } if until <= now => Some(self.failed(net)),
             Watch::Pausing { until } if until <= now => self.call(net, now, settings),
             _ => None,
--- a/src/front/fleet/mod.rs
+++ b/src/front/fleet/mod.rs
@@ -206,8 +206,8 @@
             if let Some(core) = &mut core {
                 let places = |zone: u16| self.zones.get(usize::from(zone)).copied().flatten();
                 core.seen(|what| match what {
-                    crate::core::Seen::Came { turned } => open.node.tally().arrived(turned),
-                    crate::core::Seen::Ended { zone, end, took } => {
+                    crate::core::Happened::Came { turned } => open.node.tally().arrived(turned),
+                    crate::core::Happened::Ended { zone, end, took } => {
                         if let Some(zone) = places(zone) {
                             open.node.tally().ended(zone, end, took);
                         }
--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -6,13 +6,14 @@
 use rustc_hash::FxHashMap;
 
 use super::Platform;
-use super::probes::PATIENCE;
 use crate::api::{Outcome, Report, WorkerId};
 use crate::core::SessionId;
 use crate::front::Sockets;
 use crate::net::http::{self, Message};
 use crate::net::{ConnId, Pool};
 
+/// How long a probe may take, in milliseconds.
+pub(super) const PATIENCE: f64 = 500.0;
 /// How long an answer that nobody needs is waited for, so that its connection can be used again.
 const SPARE: f64 = 2000.0;
 
--- a/src/front/platform/probes.rs
+++ b/src/front/platform/probes.rs
@@ -1,16 +1,13 @@
 //! Probes: a backend server's load report, asked for beside the jobs.
 
 use super::Platform;
-use super::backends::Work;
+use super::backends::{PATIENCE, Work};
 use crate::api::{Report, WorkerId};
 use crate::front::Sockets;
 use crate::json;
 use crate::net::ConnId;
 use crate::net::http::{self, Message};
 
-/// How long a probe may take, in milliseconds.
-pub(super) const PATIENCE: f64 = 500.0;
-
 impl Platform {
     /// Probes a backend server. The module always hears of the end: it asks nobody twice meanwhile.
     pub(super) fn probe(&mut self, net: &mut Sockets, server: WorkerId) {
--- a/src/front/stream/clients.rs
+++ b/src/front/stream/clients.rs
@@ -149,7 +149,7 @@
             }
             Err(_) => return self.turn_away(net, id, 400, "the body does not read\n"),
         };
-        let tenant = head::value(&head.headers, &self.config.table.tenant_header).unwrap_or("").to_string();
+        let tenant = http::value(&head.headers, &self.config.table.tenant_header).unwrap_or("").to_string();
         if self.closes() {
             return self.reply(net, id, 503, 0.0, "stopping\n", true);
         }
@@ -160,7 +160,7 @@
             return self.reply(net, id, 503, advice, &format!("{full}\n"), close);
         }
         // The server is to say whether it wants the body: there is nothing to hold back for.
-        let asks = head::value(&head.headers, "expect").is_some();
+        let asks = http::value(&head.headers, "expect").is_some();
         let when = if asks { Dispatch::Head } else { of.dispatch };
         let hold = Hold::new(when, of.hold, of.allowance.pace.least, now);
         let (of, close) = (of.clone(), head.close);
--- a/src/front/stream/relay.rs
+++ b/src/front/stream/relay.rs
@@ -8,6 +8,7 @@
 use crate::front::Sockets;
 use crate::net::body::{BodyError, Decoder, Framing, chunk_head, last_chunk};
 use crate::net::head::{self, AnswerHead, RequestHead};
+use crate::net::http;
 use crate::net::{Conn, ConnId, PIPED, Pipe, Pipes};
 
 /// Interim answers that are passed on for one request.
@@ -422,7 +423,7 @@
         let now = self.now();
         let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
         let (Some(session), Some((server, _))) = (exchange.session, exchange.server) else { return };
-        let declined = head::value(&answer.headers, "srv-declined") == Some("1");
+        let declined = http::value(&answer.headers, "srv-declined") == Some("1");
         if declined && matches!(answer.status, 503 | 504) && exchange.prefix.is_some() {
             return self.attempt_over(net, stream, Outcome::Full);
         }
@@ -438,7 +439,7 @@
         exchange.close |= framing == Framing::UntilClose || !exchange.decoder.is_done();
         let spoken_of = match answer.framing {
             Framing::Empty if exchange.head.method == "HEAD" => {
-                head::value(&answer.headers, "content-length").and_then(|v| v.parse().ok())
+                http::value(&answer.headers, "content-length").and_then(|v| v.parse().ok())
             }
             _ => None,
         };
@@ -456,7 +457,7 @@
             return self.attempt_over(net, stream, Outcome::Error);
         }
         let window = exchange.of.allowance.window;
-        server.rx.bound((window + crate::net::http::HEAD + 1).max(crate::net::HELD), window);
+        server.rx.bound((window + http::HEAD + 1).max(crate::net::HELD), window);
         let held = client.tx.len() + server.rx.len();
         self.flow.pass(stream, Way::Down, held, now);
         if done {
--- a/src/net/head.rs
+++ b/src/net/head.rs
@@ -3,7 +3,7 @@
 
 use super::Ring;
 use super::body::Framing;
-use super::http::{Bad, HEADERS, closes, head, owned};
+use super::http::{Bad, HEADERS, Headers, closes, head, owned, reason, value};
 
 /// Headers of one hop, which are never passed on. `Expect` is passed on, as the server may answer it.
 const HOP: [&str; 9] = [
@@ -18,9 +18,6 @@
     "upgrade",
 ];
 
-/// Headers by name and value.
-pub type Headers = Vec<(String, String)>;
-
 /// A request's head.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -51,11 +48,6 @@
     pub close: bool,
 }
 
-/// A header's value.
-pub fn value<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
-    headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
-}
-
 fn values<'a>(headers: &'a Headers, name: &'a str) -> impl Iterator<Item = &'a str> {
     headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
 }
@@ -151,8 +143,8 @@
 
 /// Writes an answer's head for the client. `length` is told where no body follows but one is spoken of: to HEAD.
 pub fn write_answer(answer: &AnswerHead, framing: Framing, spoken_of: Option<u64>, close: bool) -> Vec<u8> {
-    let reason = super::http::reason(answer.status);
-    let mut out = format!("HTTP/1.1 {} {reason}\r\n", answer.status).into_bytes();
+    let words = reason(answer.status);
+    let mut out = format!("HTTP/1.1 {} {words}\r\n", answer.status).into_bytes();
     put(&mut out, onward(&answer.headers), framing);
     if let Some(length) = spoken_of {
         out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,7 +2,6 @@
 
 use super::Ring;
 use super::body::{BodyError, Decoder, Framing};
-use super::head::{Headers, value};
 
 /// Longest head that is read.
 pub const HEAD: usize = 16 * 1024;
@@ -10,6 +9,14 @@
 pub const BODY: usize = 64 * 1024;
 pub(super) const HEADERS: usize = 64;
 
+/// Headers by name and value.
+pub type Headers = Vec<(String, String)>;
+
+/// A header's value.
+pub fn value<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+}
+
 /// Why a message cannot be read, as the status that says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bad {
@@ -181,27 +188,7 @@
 
 /// The words that go with a status; they tell nothing to a program.
 pub(super) fn reason(status: u16) -> &'static str {
-    match status {
-        100 => "Continue",
-        200 => "OK",
-        201 => "Created",
-        202 => "Accepted",
-        204 => "No Content",
-        206 => "Partial Content",
-        304 => "Not Modified",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        417 => "Expectation Failed",
-        500 => "Internal Server Error",
-        501 => "Not Implemented",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "",
-    }
+    ::http::StatusCode::from_u16(status).ok().and_then(|status| status.canonical_reason()).unwrap_or("")
 }
 
 /// Writes an answer.
