--- a/src/council/mod.rs
+++ b/src/council/mod.rs
@@ -81,6 +81,13 @@
     round: u64,
 }
 
+impl Mark {
+    /// The leader whose rounds it counts; none before the first.
+    pub fn leader(&self) -> Option<Voter> {
+        (self.leader > 0).then_some(self.leader)
+    }
+}
+
 /// What is to be written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Write {
--- a/src/council/store.rs
+++ b/src/council/store.rs
@@ -57,6 +57,11 @@
         holds
     }
 
+    /// The newest decision of each topic, as its topic, its epoch and what it says.
+    pub fn all(&self) -> impl Iterator<Item = (u8, u64, &[u8])> {
+        self.topics.iter().map(|(topic, (epoch, body))| (*topic, *epoch, body.as_slice()))
+    }
+
     /// The epoch of a topic's newest decision, 0 where there is none, and the decision.
     pub fn newest(&self, topic: u8) -> (u64, &[u8]) {
         self.topics.get(&topic).map_or((0, &[]), |(epoch, body)| (*epoch, body))
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -6,12 +6,12 @@
 use thiserror::Error;
 
 use super::Member;
+use super::papers::Hash;
 use crate::council::Mark;
-use crate::zones::Digest;
 
 const MAGIC: &[u8; 2] = b"MB";
 /// The version of the form that is written and read.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Longest frame, in bytes.
 pub const LONGEST: usize = 60_000;
 
@@ -32,6 +32,17 @@
     Damaged,
 }
 
+/// A decision on its way to a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// What it is about.
+    pub topic: u8,
+    /// Its epoch.
+    pub epoch: u64,
+    /// What it says.
+    pub body: Vec<u8>,
+}
+
 /// What a frame carries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
@@ -39,22 +50,40 @@
     Swim(Vec<u8>),
     /// A message of the council.
     Council(Vec<u8>),
-    /// What a dispatcher saw, and the epoch that it knows.
-    Digest {
-        /// The epoch.
-        epoch: u64,
-        /// What it saw.
-        digest: Digest,
-    },
-    /// The newest epoch that a voter knows, its table where the other may not have it, and how far it is confirmed.
+    /// A member asks a voter for what is newer than the epochs that it knows, by topic.
+    Ask(Vec<(u8, u64)>),
+    /// What a voter knows to be decided and the other may not have, and how far that is confirmed.
     News {
-        /// The epoch.
-        epoch: u64,
-        /// Its table, encoded.
-        table: Option<Vec<u8>>,
+        /// The decisions.
+        decisions: Vec<Decision>,
         /// The newest mark.
         mark: Mark,
     },
+    /// A message of one part to the same part of another member.
+    Part {
+        /// The part's topic.
+        topic: u8,
+        /// What it says.
+        bytes: Vec<u8>,
+    },
+    /// A piece of a document is asked for.
+    Want {
+        /// The document.
+        hash: Hash,
+        /// The piece, from 0.
+        at: u16,
+    },
+    /// A piece of a document.
+    Piece {
+        /// The document.
+        hash: Hash,
+        /// The document's length in bytes.
+        length: u32,
+        /// The piece, from 0.
+        at: u16,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
 }
 
 #[derive(Serialize, Deserialize)]
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,18 +1,22 @@
-//! A dispatcher among the others of its fleet, free of I/O: who is there (`swim`), what is agreed (`crate::council`),
-//! what the zones may get (`crate::zones`), and the frames between them. It is driven by frames and the clock, and gives
-//! out effects.
+//! A dispatcher among the others, free of I/O: who is there (`swim`), what is agreed (`crate::council`), frames between
+//! the members, and documents too long for a decision (`papers`).
+//!
+//! It is the ground that parts stand on. A part has a topic; its messages to other members and its decisions in the
+//! council travel here, and what they mean is the part's alone. A node is driven by frames and the clock, and gives out
+//! effects (what is to be sent and written) and news (what its parts are to be told), each in order.
 
 mod frame;
+mod papers;
 mod swim;
-#[cfg(test)]
-mod tests;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
-pub use frame::{Body, Frame, FrameError, LONGEST};
+pub use frame::{Body, Decision, Frame, FrameError, LONGEST};
+pub use papers::{Hash, LONGEST_PAPER, hash, short};
 
-use crate::council::{Batch, Council, CouncilError, Kept, Setup as Seat, Voter, Write};
-use crate::zones::{Decider, Digest, Evidence, Follower, Rules, Seen, Sight, TOPIC, Table, Tally, View};
+use crate::council::{Batch, Council, CouncilError, Kept, Mark, Setup as Seat, Voter, Write};
+use papers::Papers;
 use swim::Swim;
 
 /// A dispatcher's place among the members of the operator's file, from 0.
@@ -22,8 +26,12 @@
 pub const MOST_MEMBERS: usize = 1024;
 /// Time between two ticks, in milliseconds.
 pub const TICK: f64 = 50.0;
+/// A member asks voters for news so often, in milliseconds: what was sent to it at once may have been lost.
+const ASKS: f64 = 250.0;
 /// Most messages that wait for a write.
 const WAITING: usize = 4096;
+/// Topics that are taken from others at most.
+const TOPICS: usize = 16;
 
 /// What the operator's file says of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,14 +53,10 @@
     pub places: Vec<Place>,
     /// This one.
     pub own: Member,
-    /// How many zones there are.
-    pub zones: usize,
     /// When this process started, in milliseconds of its clock: it tells it from an earlier one.
     pub session: u64,
     /// For random numbers.
     pub seed: u64,
-    /// How zones are decided on.
-    pub rules: Rules,
 }
 
 /// What is to be done.
@@ -67,23 +71,29 @@
     },
     /// Write and sync, in order, and tell by `written`.
     Write(Write),
-    /// What the zones may get has changed.
-    View(View),
-    /// A decision was read that is newer than any before.
-    Decided {
-        /// Its epoch.
-        epoch: u64,
+}
+
+/// What parts are to be told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// A message of the same part of another member.
+    Message {
+        /// The part.
+        topic: u8,
+        /// Who sent it.
+        from: Member,
+        /// The process that sent it, by its start.
+        session: u64,
         /// What it says.
-        table: Table,
-        /// The voter that leads, as a member.
-        leader: Option<Member>,
-        /// Whether this node proposed it.
-        own: bool,
-        /// The members whose votes are known to have carried its leader; at the leader alone.
-        voters: Vec<Member>,
-        /// What the fleet's dispatchers saw of each zone, at a voter.
-        sights: Vec<Sight>,
+        bytes: Vec<u8>,
     },
+    /// A decision was read that is newer than any before: `newest` has it.
+    Decided {
+        /// What it is about.
+        topic: u8,
+    },
+    /// A document that was wanted is here.
+    Paper(Hash),
 }
 
 /// What a node has counted.
@@ -105,11 +115,45 @@
     pub proposed: u64,
 }
 
-/// A frame's number on its way from one member, and the process that sent it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+/// Frames of one kind are numbered for themselves, each part's too: one kind that overtakes another on its way is no
+/// reason to drop the other.
+const CHANNELS: usize = 12;
+
+/// The channel of a body; none where order is of no use, as for pieces of documents.
+fn channel(body: &Body) -> Option<usize> {
+    match body {
+        Body::Swim(_) => Some(0),
+        Body::Council(_) => Some(1),
+        Body::Ask(_) => Some(2),
+        Body::News { .. } => Some(3),
+        Body::Part { topic, .. } => Some(4 + usize::from(*topic) % (CHANNELS - 4)),
+        Body::Want { .. } | Body::Piece { .. } => None,
+    }
+}
+
+/// What came last from one member: the process that sent it, and the number of each channel.
+#[derive(Clone, Copy, Debug, Default)]
 struct Newest {
     session: u64,
-    number: u64,
+    numbers: [u64; CHANNELS],
+}
+
+impl Newest {
+    /// Whether a frame is newer than what came before it.
+    fn takes(&mut self, frame: &Frame) -> bool {
+        if frame.session < self.session {
+            return false;
+        }
+        if frame.session > self.session {
+            *self = Newest { session: frame.session, ..Newest::default() };
+        }
+        let Some(channel) = channel(&frame.body) else { return true };
+        let newer = frame.number > self.numbers[channel];
+        if newer {
+            self.numbers[channel] = frame.number;
+        }
+        newer
+    }
 }
 
 /// The node.
@@ -123,16 +167,18 @@
     /// Messages that wait for a write, of each batch; the first for the write that is under way.
     held: VecDeque<Vec<(Voter, Vec<u8>)>>,
     swim: Swim,
-    tally: Tally,
-    evidence: Evidence,
-    follower: Follower,
-    decider: Option<Decider>,
-    last_proposed: u64,
-    view: Option<View>,
+    papers: Papers,
+    /// The newest decision of each topic, by its epoch.
+    decided: BTreeMap<u8, (u64, Vec<u8>)>,
+    mark: Mark,
+    /// When the mark last rose.
+    marked: f64,
     newest: Vec<Newest>,
     numbers: Vec<u64>,
     ticked: f64,
+    asked: f64,
     effects: Vec<Effect>,
+    news: VecDeque<News>,
     counts: Counts,
     draws: fastrand::Rng,
 }
@@ -148,50 +194,46 @@
             let (voters, generation) = (voters.len() as u64, setup.generation);
             Council::new(Seat { own, voters, generation, nonce: setup.session }, kept)
         });
-        let home = setup.places.get(usize::from(setup.own)).map_or(0, |place| place.zone);
         Ok(Node {
             swim: Swim::new(setup.own, members, setup.session, setup.seed),
-            tally: Tally::new(home as u16, setup.zones, setup.session, now),
-            follower: Follower::new(home, setup.zones, setup.rules, now),
             council: council.transpose()?,
+            papers: Papers::default(),
             voters,
             seat,
             held: VecDeque::new(),
-            evidence: Evidence::default(),
-            decider: None,
-            last_proposed: 0,
-            view: None,
+            decided: BTreeMap::new(),
+            mark: Mark::default(),
+            marked: now,
             newest: vec![Newest::default(); members],
             numbers: vec![0; members],
             ticked: f64::NEG_INFINITY,
+            asked: f64::NEG_INFINITY,
             effects: Vec::new(),
+            news: VecDeque::new(),
             counts: Counts::default(),
             draws: fastrand::Rng::with_seed(setup.seed),
             setup,
         })
     }
 
-    /// What the dispatcher's own work adds to the evidence.
-    pub fn tally(&mut self) -> &mut Tally {
-        &mut self.tally
-    }
-
-    /// What is to be done since the last call, in order.
+    /// What is to be done since the last call, in order. The caller carries out all of it.
     pub fn effects(&mut self) -> Vec<Effect> {
+        self.flush();
         std::mem::take(&mut self.effects)
     }
 
+    /// What a part is to be told next. The caller asks until there is none.
+    pub fn news(&mut self) -> Option<News> {
+        self.news.pop_front()
+    }
+
     /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
         self.ticked + TICK
     }
 
-    /// Does what is due; `open` requests are open with the dispatcher, and `there` tells of a zone what is out there
-    /// and how many slots are listed.
-    pub fn tick(&mut self, now: f64, open: usize, there: impl Fn(usize) -> (u16, u16)) {
-        if now < self.next() {
-            return;
-        }
+    /// Does what is due.
+    pub fn tick(&mut self, now: f64) {
         self.ticked = now;
         let draws = &mut self.draws;
         self.swim.tick(now, |others| draws.usize(..others.max(1)));
@@ -199,14 +241,19 @@
             council.tick();
         }
         self.step(now);
-        if self.tally.roll(now) {
-            let digest = self.tally.digest(open, &there);
-            self.tell(now, digest);
-            self.decide(now);
-            let seen = self.tally.seen(&there);
-            self.look(now, &seen);
+        if now >= self.asked + ASKS {
+            self.asked = now;
+            let known: Vec<(u8, u64)> =
+                self.decided.iter().map(|(topic, (epoch, _))| (*topic, *epoch)).collect();
+            for voter in self.others(&self.voters) {
+                self.send(voter, Body::Ask(known.clone()));
+            }
         }
-        self.flush();
+        self.ask_papers(now);
+    }
+
+    fn others(&self, members: &[Member]) -> Vec<Member> {
+        members.iter().copied().filter(|member| *member != self.setup.own).collect()
     }
 
     /// A datagram from a member's address. What cannot be taken is counted and dropped.
@@ -225,48 +272,58 @@
             return Err(FrameError::Damaged);
         };
         // What comes late or twice is dropped: parts above see each link in order.
-        let this = Newest { session: frame.session, number: frame.number };
-        if this <= *newest {
+        if !newest.takes(&frame) {
             self.counts.stale += 1;
             return Ok(());
         }
-        *newest = this;
-        let taken = self.take(now, from, frame.body);
+        let taken = self.take(now, from, frame.session, frame.body);
         let count = if taken { &mut self.counts.frames } else { &mut self.counts.dropped };
         *count += 1;
         self.step(now);
-        self.flush();
         if taken { Ok(()) } else { Err(FrameError::Damaged) }
     }
 
-    fn take(&mut self, now: f64, from: Member, body: Body) -> bool {
+    fn take(&mut self, now: f64, from: Member, session: u64, body: Body) -> bool {
         match body {
             Body::Swim(packet) => self.swim.receive(now, &packet),
             Body::Council(message) => {
                 let Some(voter) = self.voters.iter().position(|member| *member == from) else { return false };
                 self.council.as_mut().is_some_and(|council| council.receive(voter as Voter + 1, &message))
             }
-            Body::Digest { epoch, digest } => {
-                if self.seat.is_none()
-                    || usize::from(digest.zone) != self.setup.places[usize::from(from)].zone
-                {
+            Body::Ask(known) => {
+                if self.seat.is_none() || known.len() > TOPICS {
                     return false;
                 }
-                let heard = self.evidence.hear(now, from, digest, self.setup.zones);
-                if heard {
-                    self.send_news(from, epoch);
-                }
-                heard
+                self.send_news(from, &known);
+                true
             }
-            Body::News { epoch, table, mark } => {
-                if !self.voters.contains(&from) {
+            Body::News { decisions, mark } => {
+                if !self.voters.contains(&from) || decisions.len() > TOPICS {
                     return false;
                 }
-                let table = match table.map(|bytes| Table::decode(&bytes, self.setup.zones)) {
-                    Some(None) => return false,
-                    table => table.flatten(),
-                };
-                self.learn(now, epoch, table, mark);
+                self.marks(now, mark);
+                for Decision { topic, epoch, body } in decisions {
+                    self.learn(topic, epoch, &body);
+                }
+                true
+            }
+            Body::Part { topic, bytes } => {
+                if self.news.len() < WAITING {
+                    self.news.push_back(News::Message { topic, from, session, bytes });
+                }
+                true
+            }
+            Body::Want { hash, at } => {
+                if let Some((length, bytes)) = self.papers.piece(&hash, at) {
+                    self.send(from, Body::Piece { hash, length, at, bytes });
+                }
+                true
+            }
+            Body::Piece { hash, length, at, bytes } => {
+                if self.papers.take(from, &hash, length, at, bytes) {
+                    self.news.push_back(News::Paper(hash));
+                }
+                self.ask_papers(now);
                 true
             }
         }
@@ -288,105 +345,148 @@
     /// Follows what the council has decided.
     fn step(&mut self, now: f64) {
         let Some(council) = &self.council else { return };
-        let (epoch, body) = council.decided().newest(TOPIC);
-        let (known, mark) = (self.follower.newest().0, council.mark());
-        let table = if epoch > known { Table::decode(body, self.setup.zones) } else { None };
-        self.learn(now, epoch, table, mark);
+        let mark = council.mark();
+        let known = |topic: u8| self.decided.get(&topic).map_or(0, |(epoch, _)| *epoch);
+        let fresh: Vec<(u8, u64, Vec<u8>)> = council
+            .decided()
+            .all()
+            .filter(|(topic, epoch, _)| *epoch > known(*topic))
+            .map(|(topic, epoch, body)| (topic, epoch, body.to_vec()))
+            .collect();
+        self.marks(now, mark);
+        for (topic, epoch, body) in fresh {
+            self.learn(topic, epoch, &body);
+        }
     }
 
-    fn learn(&mut self, now: f64, epoch: u64, table: Option<Table>, mark: crate::council::Mark) {
-        if !self.follower.news(now, epoch, table, mark) {
+    fn marks(&mut self, now: f64, mark: Mark) {
+        if mark > self.mark {
+            (self.mark, self.marked) = (mark, now);
+        }
+    }
+
+    fn learn(&mut self, topic: u8, epoch: u64, body: &[u8]) {
+        let known = self.decided.entry(topic).or_default();
+        if epoch <= known.0 {
             return;
         }
+        *known = (epoch, body.to_vec());
         self.counts.decisions += 1;
-        let (epoch, table) = self.follower.newest();
-        let leader = self.leader();
-        let own = self.last_proposed == epoch;
-        let (table, voters, sights) = (table.clone(), self.followers(), self.sights(now));
-        self.effects.push(Effect::Decided { epoch, table, leader, own, voters, sights });
+        self.news.push_back(News::Decided { topic });
         // What is new goes to all at once; voters alone have it first.
         if self.seat.is_some() {
+            let decision = Decision { topic, epoch, body: body.to_vec() };
             for member in 0..self.setup.places.len() as Member {
                 if member != self.setup.own {
-                    self.send_news(member, 0);
+                    let decisions = vec![decision.clone()];
+                    self.send(member, Body::News { decisions, mark: self.mark });
                 }
             }
         }
     }
 
-    /// The voter that leads, as a member.
-    pub fn leader(&self) -> Option<Member> {
-        let leader = self.council.as_ref()?.leader()?;
-        self.voters.get(leader as usize - 1).copied()
+    /// Tells a member that knows these epochs what is newer.
+    fn send_news(&mut self, to: Member, known: &[(u8, u64)]) {
+        let old = |topic: u8, epoch: u64| {
+            known.iter().find(|(t, _)| *t == topic).is_none_or(|(_, known)| *known < epoch)
+        };
+        let newer = self.decided.iter().filter(|(topic, (epoch, _))| old(**topic, *epoch));
+        let decisions = newer
+            .map(|(topic, (epoch, body))| Decision { topic: *topic, epoch: *epoch, body: body.clone() })
+            .collect();
+        self.send(to, Body::News { decisions, mark: self.mark });
     }
 
-    /// The members whose votes carry this leader; none where it does not lead.
-    pub fn followers(&self) -> Vec<Member> {
-        let followers = self.council.as_ref().map_or(&[][..], Council::followers);
-        followers.iter().filter_map(|voter| self.voters.get(*voter as usize - 1).copied()).collect()
+    /// Sends a message to the same part of another member, or tells it the part of this one.
+    pub fn say(&mut self, to: Member, topic: u8, bytes: Vec<u8>) {
+        if to == self.setup.own {
+            let session = self.setup.session;
+            return self.news.push_back(News::Message { topic, from: to, session, bytes });
+        }
+        self.send(to, Body::Part { topic, bytes });
+    }
+
+    /// Proposes a decision that builds on the newest epoch known of its topic. False where this node does not lead, or
+    /// has not decided what it proposed before.
+    pub fn propose(&mut self, now: f64, topic: u8, body: Vec<u8>) -> bool {
+        let based = self.newest(topic).0;
+        let Some(council) = &mut self.council else { return false };
+        if !council.propose(topic, based, body) {
+            return false;
+        }
+        self.counts.proposed += 1;
+        self.step(now);
+        true
     }
 
-    /// What the fleet's dispatchers saw of each zone; nothing where it is no voter.
-    pub fn sights(&self, now: f64) -> Vec<Sight> {
-        let zones = if self.seat.is_some() { self.setup.zones } else { 0 };
-        (0..zones).map(|zone| self.evidence.sight(now, zone)).collect()
+    /// Keeps a document for others to ask for; its name, or none where it is too long.
+    pub fn keep(&mut self, bytes: &[u8]) -> Option<Hash> {
+        self.papers.keep(bytes)
     }
 
-    /// Sends its sums to the voters, itself among them.
-    fn tell(&mut self, now: f64, digest: Digest) {
-        if self.seat.is_some() {
-            self.evidence.hear(now, self.setup.own, digest.clone(), self.setup.zones);
-        }
-        let epoch = self.follower.newest().0;
-        for at in 0..self.voters.len() {
-            if self.voters[at] != self.setup.own {
-                self.send(self.voters[at], Body::Digest { epoch, digest: digest.clone() });
-            }
-        }
+    /// A document, where it is here.
+    pub fn paper(&mut self, hash: &Hash) -> Option<Arc<[u8]>> {
+        self.papers.get(hash)
     }
 
-    /// Tells a member that knows an epoch what is new.
-    fn send_news(&mut self, to: Member, knows: u64) {
-        let (epoch, table) = self.follower.newest();
-        let table = (epoch > knows).then(|| table.encode());
-        let mark = self.follower.mark();
-        self.send(to, Body::News { epoch, table, mark });
+    /// Has a document asked for until it is here, or given up by `forget`, first of a member that should have it.
+    pub fn want(&mut self, now: f64, hash: Hash, source: Option<Member>) {
+        self.papers.want(hash, source);
+        self.ask_papers(now);
     }
 
-    /// As the leader, proposes what the evidence asks for.
-    fn decide(&mut self, now: f64) {
-        let Some(council) = self.council.as_mut().filter(|council| council.leads()) else {
-            self.decider = None;
-            return;
-        };
-        let (epoch, table) = self.follower.newest();
-        let rules = self.setup.rules;
-        let decider = self.decider.get_or_insert_with(|| Decider::new(rules, now, table));
-        // A zone is cut off for the others only where half of its dispatchers are not there either.
-        let up = self.swim.up();
-        let gone: Vec<bool> = (0..self.setup.zones)
-            .map(|zone| {
-                let here = || self.setup.places.iter().zip(up).filter(|(place, _)| place.zone == zone);
-                let down = here().filter(|(_, up)| !**up).count();
-                here().count() > 0 && down * 2 >= here().count()
-            })
+    fn ask_papers(&mut self, now: f64) {
+        let there: Vec<Member> = (0..self.setup.places.len() as Member)
+            .filter(|m| *m != self.setup.own && self.swim.up().get(usize::from(*m)) == Some(&true))
             .collect();
-        if let Some(next) = decider.decide(now, table, &self.evidence, &gone)
-            && council.propose(TOPIC, epoch, next.encode())
-        {
-            self.last_proposed = epoch + 1;
-            self.counts.proposed += 1;
+        for (member, hash, at) in self.papers.due(now, &there) {
+            self.send(member, Body::Want { hash, at });
         }
-        self.step(now);
     }
 
-    /// What the dispatcher is to do by now.
-    fn look(&mut self, now: f64, seen: &[Seen]) {
-        let view = self.follower.view(now, seen);
-        if self.view.as_ref() != Some(view) {
-            self.view = Some(view.clone());
-            self.effects.push(Effect::View(view.clone()));
-        }
+    /// Gives a document up that was wanted.
+    pub fn forget(&mut self, hash: &Hash) {
+        self.papers.forget(hash);
+    }
+
+    /// The newest decision of a topic, with its epoch; 0 where there is none.
+    pub fn newest(&self, topic: u8) -> (u64, &[u8]) {
+        self.decided.get(&topic).map_or((0, &[]), |(epoch, body)| (*epoch, body))
+    }
+
+    /// How far agreement is known to hold, and when that last rose.
+    pub fn mark(&self) -> (Mark, f64) {
+        (self.mark, self.marked)
+    }
+
+    /// The voter that leads, as a member, as far as is known here.
+    pub fn leader(&self) -> Option<Member> {
+        let leader = match &self.council {
+            Some(council) => council.leader(),
+            None => self.mark.leader(),
+        };
+        self.voters.get((leader? as usize).checked_sub(1)?).copied()
+    }
+
+    /// The members whose votes carry this leader; none where it does not lead.
+    pub fn followers(&self) -> Vec<Member> {
+        let followers = self.council.as_ref().map_or(&[][..], Council::followers);
+        followers.iter().filter_map(|voter| self.voters.get(*voter as usize - 1).copied()).collect()
+    }
+
+    /// The members that vote.
+    pub fn voters(&self) -> &[Member] {
+        &self.voters
+    }
+
+    /// This member.
+    pub fn own(&self) -> Member {
+        self.setup.own
+    }
+
+    /// All members' places.
+    pub fn places(&self) -> &[Place] {
+        &self.setup.places
     }
 
     /// Gives out what the parts want written and sent.
@@ -451,13 +551,8 @@
         self.council.as_ref().is_some_and(Council::leads)
     }
 
-    /// The newest epoch and its table.
-    pub fn newest(&self) -> (u64, &Table) {
-        self.follower.newest()
-    }
-
-    /// What the dispatcher is to do; none before the first look.
-    pub fn view(&self) -> Option<&View> {
-        self.view.as_ref()
+    /// Proposals that were void, as another was decided before them.
+    pub fn void(&self) -> u64 {
+        self.council.as_ref().map_or(0, Council::void)
     }
 }
--- /dev/null
+++ b/src/front/fleet/thread.rs
@@ -0,0 +1,325 @@
+//! The loop of what is shared: datagrams between the addresses of the operator's file, the voter's file, and what comes
+//! from the fronts and goes to them. It decides nothing; `crate::shared` does.
+
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use calloop::channel::{self, Channel, SyncSender};
+use calloop::generic::Generic;
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
+use rustc_hash::FxHashMap;
+use socket2::{Domain, Socket, Type};
+
+use super::config::Config;
+use super::disk::{self, Disk};
+use super::figures;
+use crate::core::Clock;
+use crate::council::Write;
+use crate::fleet::{self, LONGEST, Member};
+use crate::shared::{Effect, Setup, Shared};
+use crate::zones::{self, End, Sight, State, Table};
+
+/// While another process holds the address, as the one that an upgrade replaces, it is tried again so often, in
+/// milliseconds.
+const AGAIN: f64 = 100.0;
+/// Datagrams read in one turn of the loop.
+const TURN: usize = 512;
+/// Writes that may wait for the thread that writes.
+const WRITES: usize = 1024;
+/// Longest time between two rounds of the loop, in milliseconds.
+const ROUND: f64 = 1000.0;
+/// Figures are told to the fronts so often, in milliseconds.
+const FIGURES: f64 = 200.0;
+
+/// What the fronts tell the thread.
+pub(super) enum Told {
+    /// What happened since the last time: requests that came, turned away or not; dispatches that ended, by zone; the
+    /// requests that are open; and of each zone what is out there and how many slots are listed.
+    Work { came: Vec<bool>, ended: Vec<(usize, End, f64)>, open: usize, there: Vec<(u16, u16)> },
+}
+
+/// What the thread says to the fronts.
+pub(super) enum Said {
+    /// What each zone may get, and what of the requests is taken.
+    View { shares: Vec<u16>, admit: u16 },
+    /// The figures.
+    Figures(String),
+}
+
+/// What is open while this process holds the fleet's address.
+struct Open {
+    socket: Rc<UdpSocket>,
+    shared: Shared,
+    disk: Option<Disk>,
+    /// Writes that the disk's thread had no room for yet.
+    writes: VecDeque<Write>,
+}
+
+struct Loop {
+    config: Config,
+    handle: LoopHandle<'static, Loop>,
+    /// The fronts' side has gone.
+    over: bool,
+    clock: Clock,
+    members: FxHashMap<SocketAddr, Member>,
+    say: SyncSender<Said>,
+    open: Option<Open>,
+    /// When to try again for the address; none once it is held, or given up.
+    retry: Option<f64>,
+    said: bool,
+    requests: usize,
+    there: Vec<(u16, u16)>,
+    /// When to tell the figures next.
+    tells: f64,
+    /// Shares that the fronts had no room for yet.
+    view: Option<(Vec<u16>, u16)>,
+    /// Datagrams from addresses that nobody has.
+    strangers: u64,
+    /// Datagrams that the system did not take.
+    unsent: u64,
+    buffer: Vec<u8>,
+}
+
+/// Starts the thread. It ends when the fronts' side of the channel is gone.
+pub(super) fn start(config: Config, told: Channel<Told>, say: SyncSender<Said>) -> io::Result<()> {
+    std::thread::Builder::new().name("fleet".into()).spawn(move || {
+        if let Err(e) = run(config, told, say) {
+            crate::say(format_args!("the fleet's loop has ended: {e}"));
+        }
+    })?;
+    Ok(())
+}
+
+fn run(config: Config, told: Channel<Told>, say: SyncSender<Said>) -> Result<(), calloop::Error> {
+    let mut events: EventLoop<'static, Loop> = EventLoop::try_new()?;
+    let source = events.handle().insert_source(told, |event, (), shared: &mut Loop| match event {
+        channel::Event::Msg(told) => shared.hear(told),
+        channel::Event::Closed => shared.over = true,
+    });
+    source.map_err(|e| e.error)?;
+    let clock = Clock::system();
+    let members = config.addresses.iter().enumerate();
+    let members = members.map(|(at, address)| (*address, at as Member)).collect();
+    let mut shared = Loop {
+        handle: events.handle(),
+        over: false,
+        members,
+        say,
+        open: None,
+        retry: Some(clock.now()),
+        said: false,
+        requests: 0,
+        there: Vec::new(),
+        tells: clock.now(),
+        view: None,
+        strangers: 0,
+        unsent: 0,
+        buffer: vec![0; LONGEST + 1],
+        clock,
+        config,
+    };
+    shared.tick();
+    while !shared.over {
+        let wait = (shared.next() - shared.clock.now()).clamp(0.0, ROUND);
+        events.dispatch(Some(Duration::from_secs_f64(wait / 1e3)), &mut shared)?;
+        shared.tick();
+    }
+    Ok(())
+}
+
+impl Loop {
+    fn hear(&mut self, told: Told) {
+        let Told::Work { came, ended, open, there } = told;
+        (self.requests, self.there) = (open, there);
+        let Some(open) = &mut self.open else { return };
+        let tally = open.shared.zones_mut().tally();
+        came.into_iter().for_each(|turned| tally.arrived(turned));
+        ended.into_iter().for_each(|(zone, end, took)| tally.ended(zone, end, took));
+    }
+
+    fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+        let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
+        socket.bind(&address.into())?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    }
+
+    fn open(&mut self, now: f64) -> Result<(), String> {
+        let own = self.config.own;
+        let address = self.config.addresses[own];
+        let socket = match Loop::bind(address) {
+            Ok(socket) => Rc::new(socket),
+            Err(e) => {
+                if !std::mem::replace(&mut self.said, true) {
+                    crate::say(format_args!("the fleet's address {address} is not free yet: {e}"));
+                }
+                self.retry = Some(now + AGAIN);
+                return Ok(());
+            }
+        };
+        // Read only now: the process that held the address may have voted until then.
+        let kept = match &self.config.state {
+            Some(path) => disk::read(path, self.config.generation)?,
+            None => None,
+        };
+        let fleet = fleet::Setup {
+            cluster: self.config.cluster.clone(),
+            generation: self.config.generation,
+            places: self.config.places.clone(),
+            own: own as Member,
+            session: now as u64,
+            seed: now as u64 ^ (own as u64) << 48,
+        };
+        let setup = Setup { fleet, zones: self.config.zones.len(), rules: self.config.rules, rollout: None };
+        let shared = Shared::new(setup, kept, now).map_err(|e| e.to_string())?;
+        let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Level);
+        let added = self.handle.insert_source(source, |_, _, shared: &mut Loop| {
+            shared.read();
+            Ok(PostAction::Continue)
+        });
+        added.map_err(|e| e.to_string())?;
+        let mut disk = None;
+        if let Some(path) = self.config.state.clone().filter(|_| self.config.places[own].voter) {
+            let (thread, told) = Disk::start(path).map_err(|e| format!("fleet: {e}"))?;
+            let added = self.handle.insert_source(told, |event, (), shared: &mut Loop| {
+                if let channel::Event::Msg(done) = event {
+                    shared.written(done);
+                }
+            });
+            added.map_err(|e| e.to_string())?;
+            disk = Some(thread);
+        }
+        tracing::info!(cluster = self.config.cluster, name = self.config.names[own], %address, "fleet joined");
+        self.open = Some(Open { socket, shared, disk, writes: VecDeque::new() });
+        self.retry = None;
+        Ok(())
+    }
+
+    /// Reads what has come.
+    fn read(&mut self) {
+        for _ in 0..TURN {
+            let Some(open) = &mut self.open else { return };
+            match open.socket.recv_from(&mut self.buffer) {
+                Ok((length, from)) => {
+                    let now = self.clock.now();
+                    match self.members.get(&from) {
+                        Some(&member) => drop(open.shared.receive(now, member, &self.buffer[..length])),
+                        None => self.strangers += 1,
+                    }
+                }
+                // A datagram that found nobody comes back as an error of the socket.
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionRefused) => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn written(&mut self, done: bool) {
+        let Some(open) = &mut self.open else { return };
+        open.shared.written(self.clock.now(), done);
+        if !done {
+            open.writes.clear();
+            open.disk = None;
+        }
+    }
+
+    /// Does what is due by now.
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if self.retry.is_some_and(|at| at <= now)
+            && let Err(e) = self.open(now)
+        {
+            // What could be read at the start cannot be read now: without its votes it stays out.
+            crate::say(format_args!("the fleet is left: {e}"));
+            self.retry = None;
+        }
+        if let Some(open) = &mut self.open {
+            let there = &self.there;
+            open.shared.tick(now, self.requests, |zone| there.get(zone).copied().unwrap_or((0, 0)));
+        }
+        self.carry_out();
+        if now >= self.tells {
+            self.tells = now + FIGURES;
+            let text = match &self.open {
+                Some(open) => {
+                    let drops = figures::Drops { strangers: self.strangers, unsent: self.unsent };
+                    figures::render(&self.config.zones, &open.shared, drops, now)
+                }
+                None => figures::open(false),
+            };
+            // The next ones are as good.
+            let _ = self.say.try_send(Said::Figures(text));
+        }
+        if let Some((shares, admit)) = self.view.take()
+            && self.say.try_send(Said::View { shares: shares.clone(), admit }).is_err()
+        {
+            self.view = Some((shares, admit));
+        }
+    }
+
+    /// Carries out what is to be done.
+    fn carry_out(&mut self) {
+        let Some(open) = &mut self.open else { return };
+        for effect in open.shared.effects() {
+            match effect {
+                Effect::Ground(fleet::Effect::Send { to, bytes }) => {
+                    let address = self.config.addresses[usize::from(to)];
+                    self.unsent += u64::from(open.socket.send_to(&bytes, address).is_err());
+                }
+                Effect::Ground(fleet::Effect::Write(write)) if open.writes.len() < WRITES => {
+                    open.writes.push_back(write);
+                }
+                Effect::Ground(fleet::Effect::Write(_)) => open.shared.written(self.clock.now(), false),
+                Effect::Zones(zones::Effect::View(view)) => self.view = Some((view.shares, view.admit)),
+                Effect::Zones(zones::Effect::Decided(decided)) => log(&self.config, &decided),
+                Effect::Rollout(_) => {}
+            }
+        }
+        while let (Some(disk), Some(write)) = (&open.disk, open.writes.pop_front()) {
+            if !disk.write(write.clone()) {
+                open.writes.push_front(write);
+                break;
+            }
+        }
+    }
+
+    /// When `tick` is to be called next.
+    fn next(&self) -> f64 {
+        let part = self.open.as_ref().map_or(self.retry.unwrap_or(f64::INFINITY), |open| open.shared.next());
+        part.min(self.tells)
+    }
+}
+
+/// Tells of a decision of zones in the log.
+fn log(config: &Config, decided: &zones::Decided) {
+    let zones::Decided { epoch, table, leader, own, voters, sights } = decided;
+    let name = |at: &Member| config.names.get(usize::from(*at)).map_or("", String::as_str);
+    let (leader, states) = (leader.as_ref().map_or("", name), states(&config.zones, table));
+    let voters = voters.iter().map(name).collect::<Vec<_>>().join(",");
+    let evidence = evidence(&config.zones, sights);
+    tracing::info!(epoch, leader, own, states, voters, evidence, "zones decided");
+}
+
+/// What was seen of the zones in a line, as `a=answered/refused/silent/sources`.
+fn evidence(names: &[String], sights: &[Sight]) -> String {
+    let each = names.iter().zip(sights);
+    let each =
+        each.map(|(name, s)| format!("{name}={}/{}/{}/{}", s.answered, s.refused, s.silent, s.sources));
+    each.collect::<Vec<_>>().join(" ")
+}
+
+/// The zones' states in a line, as `a=open b=closed`.
+fn states(names: &[String], table: &Table) -> String {
+    let word = |state: State| match state {
+        State::Open => "open",
+        State::Careful => "careful",
+        State::Closed => "closed",
+        State::Returning => "returning",
+    };
+    let each = names.iter().zip(&table.zones);
+    let each = each.map(|(name, zone)| format!("{name}={}/{}", word(zone.state), zone.share));
+    each.collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/src/rollout/lead.rs
@@ -0,0 +1,190 @@
+//! The leader's part: who holds a lease, who has said yes, who holds what comes in, and when a change is decided.
+
+use super::{Decision, Hold, Outcome, Policy, Rules, Say, TOPIC, Told, cut};
+use crate::fleet::{self, Node};
+
+/// The last round that confirmed a leader had begun so long before it was counted, at most, in milliseconds: a voter
+/// may have answered three rounds of 200 ms before.
+const BACK: f64 = 700.0;
+/// A voter that has promised to follow another leader goes on naming the old one for so long at most, in milliseconds.
+const NAMES: f64 = 1000.0;
+/// Beyond what leases may take, all have so long to fetch and check a document, in milliseconds.
+const CHECKS: f64 = 3000.0;
+/// After a hold that not all kept, the next one comes so much later, in milliseconds.
+const RESTS: f64 = 500.0;
+/// A member that was not heard of for so long is waited for before a hold, not during it, in milliseconds.
+const HEARD: f64 = 200.0;
+
+/// What is known of a member.
+#[derive(Clone, Debug)]
+struct Seat {
+    session: u64,
+    /// When the lease of its present process is over for sure, by the leader's clock.
+    leased: f64,
+    /// The same of processes before it.
+    before: f64,
+    heard: f64,
+    told: Told,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// All are to say yes.
+    Checking,
+    /// All are to hold.
+    Holding { hold: Hold, since: f64 },
+    /// The change was proposed to the log.
+    Deciding,
+}
+
+/// The leader's part, from when it began to lead until it does no more.
+#[derive(Clone, Debug)]
+pub struct Lead {
+    rules: Rules,
+    seats: Vec<Seat>,
+    /// What it has staged itself. What another leader has staged it gives up: whom that one asked, it cannot know.
+    staged: Option<(Policy, f64)>,
+    phase: Phase,
+    attempts: u64,
+    next_hold: f64,
+}
+
+impl Lead {
+    /// One that begins to lead now. It knows of no lease, and takes every member for one that has one in full.
+    pub fn new(rules: Rules, members: usize, now: f64) -> Lead {
+        let leased = now + NAMES + rules.over(rules.lease);
+        let heard = f64::NEG_INFINITY;
+        let seat = Seat { session: 0, leased: now, before: leased, heard, told: Told::default() };
+        Lead {
+            rules,
+            seats: vec![seat; members],
+            staged: None,
+            phase: Phase::Checking,
+            attempts: 0,
+            next_hold: now,
+        }
+    }
+
+    /// A member has told how it stands. It gets a lease, as far as this leader is sure to lead.
+    pub(super) fn told(&mut self, now: f64, node: &mut Node, from: u16, session: u64, told: Told) {
+        let Some(seat) = self.seats.get_mut(usize::from(from)) else { return };
+        if session < seat.session {
+            return;
+        }
+        if session > seat.session {
+            // The process before this one may still hold its lease, frozen or on its way out.
+            seat.before = seat.before.max(seat.leased);
+            (seat.session, seat.leased) = (session, now);
+        }
+        let nonce = told.nonce;
+        (seat.told, seat.heard) = (told, now);
+        let (_, marked) = node.mark();
+        let left = self.rules.lease - (now - (marked - BACK));
+        if left < 1.0 {
+            return;
+        }
+        seat.leased = seat.leased.max(now + self.rules.over(left));
+        let (epoch, _) = node.newest(TOPIC);
+        node.say(from, TOPIC, Say::Lease { nonce, lasts: left as u32, epoch }.encode());
+        if let Phase::Holding { hold, .. } = self.phase
+            && self.seats[usize::from(from)].told.holds != Some(hold)
+        {
+            node.say(from, TOPIC, Say::Hold(hold).encode());
+        }
+    }
+
+    /// Members that may serve and of which something does not hold.
+    fn missing(&self, now: f64, holds: impl Fn(&Seat) -> bool) -> Vec<usize> {
+        let open = |seat: &Seat| seat.before > now || seat.leased > now && !holds(seat);
+        (0..self.seats.len()).filter(|at| open(&self.seats[*at])).collect()
+    }
+
+    /// Does what is due.
+    pub(super) fn tick(&mut self, now: f64, node: &mut Node) {
+        let decision = Decision::decode(node.newest(TOPIC).1);
+        let Some(staged) = decision.staged else {
+            // What was proposed to be staged may not be decided yet.
+            self.staged = self.staged.filter(|(own, _)| own.version > decision.highest);
+            self.phase = Phase::Checking;
+            return self.stage(now, node, decision);
+        };
+        let Some((_, since)) = self.staged.filter(|own| own.0 == staged) else {
+            return self.give_up(now, node, decision, "the leader that staged it has gone");
+        };
+        match self.phase {
+            Phase::Deciding => {}
+            Phase::Checking => {
+                let no = self.seats.iter().position(|seat| {
+                    let checked = seat.told.checked.as_ref();
+                    checked.is_some_and(|(version, no)| *version == staged.version && no.is_some())
+                });
+                if let Some(at) = no {
+                    let why = self.seats[at].told.checked.clone().and_then(|checked| checked.1);
+                    let why = format!("member {at}: {}", why.unwrap_or_default());
+                    return self.give_up(now, node, decision, &why);
+                }
+                let yes = |seat: &Seat| {
+                    seat.told.checked == Some((staged.version, None)) && now - seat.heard <= HEARD
+                };
+                let missing = self.missing(now, yes);
+                let own = yes(&self.seats[usize::from(node.own())]);
+                if missing.is_empty() && own && now >= self.next_hold {
+                    self.attempts += 1;
+                    let hold = Hold { mark: node.mark().0, attempt: self.attempts, version: staged.version };
+                    self.phase = Phase::Holding { hold, since: now };
+                    self.to_all(node, &Say::Hold(hold));
+                } else if now - since > NAMES + self.rules.over(self.rules.lease) + CHECKS {
+                    let why = format!("no yes in time of members {missing:?}");
+                    self.give_up(now, node, decision, &why);
+                }
+            }
+            Phase::Holding { hold, since } => {
+                let missing = self.missing(now, |seat| seat.told.holds == Some(hold));
+                if missing.is_empty() {
+                    let last = Outcome { version: staged.version, in_force: true, reason: String::new() };
+                    let next = Decision { policy: staged, staged: None, last: Some(last), ..decision };
+                    self.phase = Phase::Deciding;
+                    if !node.propose(now, TOPIC, next.encode()) {
+                        // Nothing was proposed, so that nobody can decide it.
+                        self.phase = Phase::Holding { hold, since };
+                    }
+                } else if now - since > self.rules.hold {
+                    // Only this leader could have had it decided on this hold, and it did not propose it.
+                    self.to_all(node, &Say::Go(hold));
+                    (self.phase, self.next_hold) = (Phase::Checking, now + RESTS);
+                }
+            }
+        }
+    }
+
+    /// Stages what members want: the lowest version first, so that two that are wanted come one after the other.
+    fn stage(&mut self, now: f64, node: &mut Node, decision: Decision) {
+        let fresh = |seat: &Seat| now - seat.heard < 2000.0;
+        let seats = self.seats.iter().enumerate().filter(|(_, seat)| fresh(seat));
+        let wanted = seats.filter_map(|(at, seat)| Some((at, seat.told.wants?)));
+        let newer = wanted.filter(|(_, p)| p.version > decision.highest);
+        let Some((at, policy)) = newer.min_by_key(|(_, p)| p.version) else { return };
+        if node.paper(&policy.hash).is_none() {
+            return node.want(now, policy.hash, Some(at as fleet::Member));
+        }
+        let next = Decision { staged: Some(policy), highest: policy.version, ..decision };
+        if node.propose(now, TOPIC, next.encode()) {
+            (self.staged, self.phase) = (Some((policy, now)), Phase::Checking);
+        }
+    }
+
+    fn give_up(&mut self, now: f64, node: &mut Node, decision: Decision, reason: &str) {
+        let Some(staged) = decision.staged else { return };
+        let last = Outcome { version: staged.version, in_force: false, reason: cut(reason) };
+        let next = Decision { staged: None, last: Some(last), ..decision };
+        if node.propose(now, TOPIC, next.encode()) {
+            self.phase = Phase::Deciding;
+        }
+    }
+
+    fn to_all(&self, node: &mut Node, say: &Say) {
+        for member in 0..self.seats.len() as fleet::Member {
+            node.say(member, TOPIC, say.encode());
+        }
+    }
+}
--- /dev/null
+++ b/src/rollout/member.rs
@@ -0,0 +1,272 @@
+//! A dispatcher's part in a change: its lease, its check of what is staged, its hold, and what it runs.
+
+use std::collections::VecDeque;
+
+use super::{Decision, Hold, Policy, Rules, Say, TOPIC, Told, cut};
+use crate::fleet::{self, Hash, Node};
+
+/// A member tells the leader how it stands so often while nothing changes, in milliseconds.
+const TELLS: f64 = 250.0;
+/// The same while something is staged: what was lost is to be made up for soon.
+const HURRIES: f64 = 50.0;
+/// Messages whose leases may still come.
+const ASKED: usize = 64;
+
+/// What is to be done. The caller carries out all of it, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Keep the document on disk, and tell by `saved`.
+    Save(Hash, Vec<u8>),
+    /// Check a document against what is known here, and tell by `checked`.
+    Check(Policy, Vec<u8>),
+    /// Hold what comes in from now on, and tell by `holding`.
+    Hold(Hold),
+    /// The hold is over: what was held goes on under what is in force.
+    Release,
+    /// From now on this is in force.
+    Apply(Policy, Vec<u8>),
+    /// Requests may be started until then, by the caller's clock.
+    Serve(f64),
+    /// The newest decision, for the log.
+    Decided(Decision),
+}
+
+/// How a member stands, for its operators.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    /// What it runs.
+    pub version: u64,
+    /// What is decided, as far as is known here.
+    pub decision: Decision,
+    /// Its epoch.
+    pub epoch: u64,
+    /// Whether it holds what comes in.
+    pub holds: bool,
+    /// When its lease ends.
+    pub until: f64,
+    /// What its operator wants and is not decided on.
+    pub wants: Option<u64>,
+}
+
+/// The part.
+pub struct Member {
+    rules: Rules,
+    /// The newest decision, and its epoch.
+    decision: Decision,
+    epoch: u64,
+    /// What it runs; none before it knows.
+    runs: Option<Policy>,
+    /// The staged version that was handed to the disk, and to the check.
+    saved: Option<(Hash, bool)>,
+    checked: Option<(u64, Option<String>)>,
+    hold: Option<Hold>,
+    /// The fronts have said that they hold.
+    holds: bool,
+    until: f64,
+    nonce: u64,
+    asked: VecDeque<(u64, f64)>,
+    tells: f64,
+    wants: Option<Policy>,
+    /// The newest hold or release of a leader: older ones change nothing.
+    latest: Option<Hold>,
+    effects: Vec<Effect>,
+}
+
+impl Member {
+    /// A member that knows nothing yet, and serves nothing.
+    pub fn new(rules: Rules) -> Member {
+        Member {
+            rules,
+            decision: Decision::default(),
+            epoch: 0,
+            runs: None,
+            saved: None,
+            checked: None,
+            hold: None,
+            holds: false,
+            until: f64::NEG_INFINITY,
+            nonce: 0,
+            asked: VecDeque::new(),
+            tells: f64::NEG_INFINITY,
+            wants: None,
+            latest: None,
+            effects: Vec::new(),
+        }
+    }
+
+    /// What is to be done since the last call, in order.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The operator's file has this version, in this document.
+    pub fn wants(&mut self, now: f64, node: &mut Node, version: u64, bytes: &[u8]) -> Result<(), String> {
+        if version <= self.decision.highest {
+            // Its own newest file, read again, is no news.
+            let known = self.decision.policy.hash == fleet::hash(bytes);
+            let what = if known { "is in force" } else { "was decided on before" };
+            self.wants = None;
+            return if known {
+                Ok(())
+            } else {
+                Err(format!("version {version} {what}: a higher one is needed"))
+            };
+        }
+        let hash = node.keep(bytes).ok_or("the policy is too long: 256 KiB at most")?;
+        self.wants = Some(Policy { version, hash });
+        self.tells = now;
+        Ok(())
+    }
+
+    /// Does what is due. Gives what is for the leader, where that is this node itself.
+    pub(super) fn tick(&mut self, now: f64, node: &mut Node) {
+        self.follow(now, node);
+        if now < self.tells {
+            return;
+        }
+        let hurries = self.decision.staged.is_some() || self.wants.is_some() || now >= self.until;
+        self.tells = now + if hurries { HURRIES } else { TELLS };
+        let Some(leader) = node.leader() else { return };
+        self.nonce += 1;
+        if self.asked.len() >= ASKED {
+            self.asked.pop_front();
+        }
+        self.asked.push_back((self.nonce, now));
+        let told = Told {
+            nonce: self.nonce,
+            epoch: if self.runs == Some(self.decision.policy) { self.epoch } else { 0 },
+            checked: self.checked.clone(),
+            holds: self.hold.filter(|_| self.holds),
+            wants: self.wants,
+        };
+        node.say(leader, TOPIC, Say::Told(told).encode());
+    }
+
+    /// Follows the newest decision that the node knows.
+    pub(super) fn follow(&mut self, now: f64, node: &mut Node) {
+        let (epoch, body) = node.newest(TOPIC);
+        if epoch > self.epoch {
+            let decision = Decision::decode(body);
+            if decision.staged != self.decision.staged {
+                (self.saved, self.checked) = (None, None);
+                if let Some(old) = self.decision.staged.filter(|old| old.hash != decision.policy.hash) {
+                    node.forget(&old.hash);
+                }
+            }
+            (self.epoch, self.decision, self.tells) = (epoch, decision, now);
+            self.wants = self.wants.filter(|wants| wants.version > self.decision.highest);
+            self.effects.push(Effect::Decided(self.decision.clone()));
+        }
+        let policy = self.decision.policy;
+        if self.runs != Some(policy) {
+            let bytes = if policy.version == 0 { Some(Vec::new()) } else { paper(now, node, &policy.hash) };
+            if let Some(bytes) = bytes {
+                self.runs = Some(policy);
+                self.tells = now;
+                self.effects.push(Effect::Save(policy.hash, bytes.clone()));
+                self.effects.push(Effect::Apply(policy, bytes));
+            }
+        }
+        if let Some(staged) = self.decision.staged
+            && self.saved.is_none()
+            && let Some(bytes) = paper(now, node, &staged.hash)
+        {
+            self.saved = Some((staged.hash, false));
+            self.effects.push(Effect::Save(staged.hash, bytes.clone()));
+            self.effects.push(Effect::Check(staged, bytes));
+        }
+        // What a hold was for has been decided on, and is carried out here.
+        if let Some(hold) = self.hold
+            && self.runs == Some(policy)
+            && self.decision.staged.is_none_or(|staged| staged.version != hold.version)
+            && self.decision.highest >= hold.version
+        {
+            self.release();
+        }
+    }
+
+    fn release(&mut self) {
+        (self.hold, self.holds) = (None, false);
+        self.effects.push(Effect::Release);
+    }
+
+    /// A document is on disk, or could not be written: without it nothing is said yes to.
+    pub fn saved(&mut self, hash: Hash, error: Option<String>) {
+        if let Some(staged) = self.decision.staged.filter(|staged| staged.hash == hash) {
+            match error {
+                None => self.saved = Some((hash, true)),
+                Some(error) => self.checked = Some((staged.version, Some(cut(&error)))),
+            }
+        }
+    }
+
+    /// What is staged was checked: nothing, or why it cannot be.
+    pub fn checked(&mut self, now: f64, version: u64, error: Option<String>) {
+        let ours = self.decision.staged.is_some_and(|staged| staged.version == version);
+        let written = self.saved.is_some_and(|(_, written)| written);
+        if ours && (written || error.is_some()) && self.checked.is_none() {
+            self.checked = Some((version, error.map(|error| cut(&error))));
+            self.tells = now;
+        }
+    }
+
+    /// The fronts hold what comes in.
+    pub fn holding(&mut self, now: f64, hold: Hold) {
+        if self.hold == Some(hold) {
+            self.holds = true;
+            self.tells = now;
+        }
+    }
+
+    /// A message of the leader.
+    pub(super) fn receive(&mut self, now: f64, say: Say) {
+        match say {
+            Say::Lease { nonce, lasts, epoch } => {
+                let Some(&(_, sent)) = self.asked.iter().find(|asked| asked.0 == nonce) else { return };
+                // What was granted for a newer decision than the one that runs here does not count.
+                let carried_out = self.epoch >= epoch && self.runs == Some(self.decision.policy);
+                let until = sent + f64::from(lasts).min(self.rules.lease);
+                if carried_out && until > self.until && until > now {
+                    self.until = until;
+                    self.effects.push(Effect::Serve(until));
+                }
+            }
+            Say::Hold(hold) if self.latest.is_none_or(|latest| hold > latest) => {
+                self.latest = Some(hold);
+                let ours = self.decision.staged.is_some_and(|staged| staged.version == hold.version);
+                // One that comes before the news of what is staged is sent again.
+                if ours && self.checked == Some((hold.version, None)) {
+                    (self.hold, self.holds) = (Some(hold), false);
+                    self.effects.push(Effect::Hold(hold));
+                } else {
+                    self.latest = None;
+                }
+            }
+            Say::Go(hold) if self.hold == Some(hold) => self.release(),
+            Say::Go(hold) => self.latest = self.latest.max(Some(hold)),
+            Say::Hold(_) | Say::Told(_) => {}
+        }
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> Standing {
+        Standing {
+            version: self.runs.map_or(0, |policy| policy.version),
+            decision: self.decision.clone(),
+            epoch: self.epoch,
+            holds: self.hold.is_some(),
+            until: self.until,
+            wants: self.wants.map(|wants| wants.version),
+        }
+    }
+}
+
+/// A document, which is asked for where it is not here.
+fn paper(now: f64, node: &mut Node, hash: &Hash) -> Option<Vec<u8>> {
+    let paper = node.paper(hash);
+    if paper.is_none() {
+        // The leader had it before it staged it.
+        node.want(now, *hash, node.leader());
+    }
+    paper.map(|bytes| bytes.to_vec())
+}
--- /dev/null
+++ b/src/rollout/mod.rs
@@ -0,0 +1,233 @@
+//! A change of policy that takes hold everywhere or nowhere, free of I/O. The policy itself is a document that this part
+//! does not read: it has a version and a hash.
+//!
+//! The log of the council has what is in force and what is staged. A version that is staged is fetched and checked by
+//! every dispatcher that may serve; when all have said yes, all hold what comes in; when all hold, the change is decided
+//! in the log, and each lets what it held go on under the new version as it learns of that. A dispatcher serves only
+//! while it holds a lease by its own clock, which counts suspended time: one that does not answer is waited for until
+//! its lease is over, so that the dead, the frozen and the cut off cannot go on under the old version.
+//! `docs/design/rollout.md` has the ways weighed.
+//!
+//! `Member` is every dispatcher's part; `Lead` is the part of the council's leader.
+
+mod lead;
+mod member;
+#[cfg(test)]
+mod tests;
+
+pub use lead::Lead;
+pub use member::{Effect, Member, Standing};
+
+use serde::{Deserialize, Serialize};
+
+use crate::council::Mark;
+use crate::fleet::{self, Hash, Node};
+
+/// The council's topic of policies.
+pub const TOPIC: u8 = 2;
+/// Longest reason that is told, in bytes.
+const REASON: usize = 240;
+
+/// How changes are made. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// How long a dispatcher serves without news: also how long a change may have to wait for one that does not answer.
+    pub lease: f64,
+    /// How long what comes in may be held for a change before the leader lets it go on.
+    pub hold: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules { lease: 10_000.0, hold: 400.0 }
+    }
+}
+
+impl Rules {
+    /// By when a lease of so long is over by another clock: clocks may run apart by a hundredth.
+    fn over(&self, left: f64) -> f64 {
+        left * 1.01 + 50.0
+    }
+}
+
+/// A version and the document that it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Policy {
+    /// The version, as its document has it; 0: none was ever in force.
+    pub version: u64,
+    /// The document.
+    pub hash: Hash,
+}
+
+/// What became of a version that was staged last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// The version.
+    pub version: u64,
+    /// Whether it came in force; if not it was given up, for good.
+    pub in_force: bool,
+    /// Why it was given up.
+    pub reason: String,
+}
+
+/// A decision of the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// What is in force.
+    pub policy: Policy,
+    /// What is staged, if anything is.
+    pub staged: Option<Policy>,
+    /// The highest version that was ever staged: none up to it is staged again, so that what was given up stays so.
+    pub highest: u64,
+    /// What became of the last one.
+    pub last: Option<Outcome>,
+}
+
+impl Decision {
+    fn encode(&self) -> Vec<u8> {
+        // Into a vector nothing can fail to fit.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads one; the first where it does not read, as where nothing was decided.
+    pub fn decode(bytes: &[u8]) -> Decision {
+        match postcard::take_from_bytes(bytes) {
+            Ok((decision, [])) => decision,
+            _ => Decision::default(),
+        }
+    }
+}
+
+/// A hold of what comes in: of two the greater is the later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Hold {
+    mark: Mark,
+    attempt: u64,
+    /// The version that it is for.
+    pub version: u64,
+}
+
+/// How a member stands, as it tells the leader each time.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Told {
+    /// Of this message; a lease counts from when it was sent.
+    nonce: u64,
+    /// The newest decision that the member has carried out.
+    epoch: u64,
+    /// The version that it has checked, and why not, where it said no.
+    checked: Option<(u64, Option<String>)>,
+    /// The hold that it keeps.
+    holds: Option<Hold>,
+    /// A newer version that its operator wants.
+    wants: Option<Policy>,
+}
+
+/// What members say to one another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Say {
+    /// To the leader.
+    Told(Told),
+    /// From the leader: what was told is answered with a lease.
+    Lease {
+        /// The message that it answers.
+        nonce: u64,
+        /// So many milliseconds from when that was sent.
+        lasts: u32,
+        /// It counts at a member that has carried this decision out.
+        epoch: u64,
+    },
+    /// From the leader: hold what comes in, until the version is decided on or the leader lets it go on.
+    Hold(Hold),
+    /// From the leader: a hold is over, and nothing has changed.
+    Go(Hold),
+}
+
+impl Say {
+    fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    fn decode(bytes: &[u8]) -> Option<Say> {
+        match postcard::take_from_bytes(bytes) {
+            Ok((say, [])) => Some(say),
+            _ => None,
+        }
+    }
+}
+
+/// A reason that fits a decision.
+fn cut(reason: &str) -> String {
+    let mut end = reason.len().min(REASON);
+    while !reason.is_char_boundary(end) {
+        end -= 1;
+    }
+    reason[..end].to_string()
+}
+
+/// The part: a member's, and the leader's while this node leads.
+pub struct Rollout {
+    rules: Rules,
+    member: Member,
+    lead: Option<Lead>,
+}
+
+impl Rollout {
+    /// The part of a node that has just started.
+    pub fn new(rules: Rules) -> Rollout {
+        Rollout { rules, member: Member::new(rules), lead: None }
+    }
+
+    /// The member's part.
+    pub fn member(&mut self) -> &mut Member {
+        &mut self.member
+    }
+
+    /// How the member stands.
+    pub fn standing(&self) -> Standing {
+        self.member.standing()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: f64, node: &mut Node) {
+        if !node.leads() {
+            self.lead = None;
+        } else if self.lead.is_none() {
+            self.lead = Some(Lead::new(self.rules, node.places().len(), now));
+        }
+        self.member.tick(now, node);
+        if let Some(lead) = &mut self.lead {
+            lead.tick(now, node);
+        }
+    }
+
+    /// Follows the newest decision that the node knows.
+    pub fn follow(&mut self, now: f64, node: &mut Node) {
+        self.member.follow(now, node);
+    }
+
+    /// A message of another member, or of this one to itself. False where it is none that this part can take.
+    pub fn receive(
+        &mut self,
+        now: f64,
+        node: &mut Node,
+        from: fleet::Member,
+        session: u64,
+        bytes: &[u8],
+    ) -> bool {
+        match Say::decode(bytes) {
+            None => return false,
+            Some(Say::Told(told)) => {
+                if let Some(lead) = self.lead.as_mut().filter(|_| node.leads()) {
+                    lead.told(now, node, from, session, told);
+                    lead.tick(now, node);
+                }
+            }
+            // Leases and holds are a leader's to give: an older one of another leader does no harm.
+            Some(say) if node.voters().contains(&from) => self.member.receive(now, say),
+            Some(_) => return false,
+        }
+        // What has changed here is told at once.
+        self.member.tick(now, node);
+        true
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -127,11 +127,19 @@
         ),
     ];
     for (name, kind, help, value) in rows {
-        let _ = write!(text, "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}\n");
+        row(&mut text, name, kind, help, &[(String::new(), value as f64)]);
     }
     text
 }
 
+/// Adds a figure: its help, its kind, and its values by their labels (`{name="value"}`, or nothing).
+pub fn row(text: &mut String, name: &str, kind: &str, help: &str, values: &[(String, f64)]) {
+    let _ = write!(text, "# HELP {name} {help}\n# TYPE {name} {kind}\n");
+    for (labels, value) in values {
+        let _ = writeln!(text, "{name}{labels} {value}");
+    }
+}
+
 /// A label value as the format has it: backslash, quote and line feed escaped.
 pub(crate) fn escape(value: &str) -> String {
     value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
--- a/src/zones/mod.rs
+++ b/src/zones/mod.rs
@@ -7,12 +7,14 @@
 mod decide;
 mod evidence;
 mod follow;
+mod part;
 #[cfg(test)]
 mod tests;
 
 pub use decide::{Decider, Rules};
 pub use evidence::{Digest, End, Evidence, FRESH, STEP, Seen, Sight, Source, Tally, Verdict};
 pub use follow::{Follower, Gate, Standing, View};
+pub use part::{Decided, Effect, Zones};
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/src/zones/part.rs
@@ -0,0 +1,183 @@
+//! The part of zones: what a dispatcher tells the voters of its own work, what the leader proposes, and what the
+//! dispatcher does with what is decided. It stands on the fleet's ground.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Decider, Digest, Evidence, Follower, Rules, Seen, Sight, TOPIC, Table, Tally, View};
+use crate::fleet::{Member, Node};
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// What the zones may get has changed.
+    View(View),
+    /// A decision was read that is newer than any before.
+    Decided(Decided),
+}
+
+/// A decision that was read, and how it came about as far as is known here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decided {
+    /// Its epoch.
+    pub epoch: u64,
+    /// What it says.
+    pub table: Table,
+    /// The voter that leads, as a member.
+    pub leader: Option<Member>,
+    /// Whether this node proposed it.
+    pub own: bool,
+    /// The members whose votes are known to have carried its leader; at the leader alone.
+    pub voters: Vec<Member>,
+    /// What the fleet's dispatchers saw of each zone, at a voter.
+    pub sights: Vec<Sight>,
+}
+
+/// What members say to voters.
+#[derive(Serialize, Deserialize)]
+struct Told(Digest);
+
+/// The part.
+pub struct Zones {
+    count: usize,
+    rules: Rules,
+    tally: Tally,
+    evidence: Evidence,
+    follower: Follower,
+    decider: Option<Decider>,
+    last_proposed: u64,
+    view: Option<View>,
+    effects: Vec<Effect>,
+}
+
+impl Zones {
+    /// The part of a member of this zone, among so many.
+    pub fn new(home: usize, count: usize, rules: Rules, session: u64, now: f64) -> Zones {
+        Zones {
+            count,
+            rules,
+            tally: Tally::new(home as u16, count, session, now),
+            evidence: Evidence::default(),
+            follower: Follower::new(home, count, rules, now),
+            decider: None,
+            last_proposed: 0,
+            view: None,
+            effects: Vec::new(),
+        }
+    }
+
+    /// What the dispatcher's own work adds to the evidence.
+    pub fn tally(&mut self) -> &mut Tally {
+        &mut self.tally
+    }
+
+    /// What is to be done since the last call, in order.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Does what is due; `open` requests are open with the dispatcher, and `there` tells of a zone what is out there
+    /// and how many slots are listed.
+    pub fn tick(&mut self, now: f64, node: &mut Node, open: usize, there: impl Fn(usize) -> (u16, u16)) {
+        self.follow(now, node);
+        if !self.tally.roll(now) {
+            return;
+        }
+        let digest = self.tally.digest(open, &there);
+        self.tell(now, node, digest);
+        self.decide(now, node);
+        let seen = self.tally.seen(&there);
+        self.look(now, &seen);
+    }
+
+    /// A message of another member. False where it is none that this part can take.
+    pub fn receive(&mut self, now: f64, node: &Node, from: Member, bytes: &[u8]) -> bool {
+        let Ok((Told(digest), [])) = postcard::take_from_bytes(bytes) else { return false };
+        let home = node.places().get(usize::from(from)).map(|place| place.zone);
+        let fits = node.votes().is_some() && home == Some(usize::from(digest.zone));
+        fits && self.evidence.hear(now, from, digest, self.count)
+    }
+
+    /// Follows the newest decision that the node knows.
+    pub fn follow(&mut self, now: f64, node: &Node) {
+        let (epoch, body) = node.newest(TOPIC);
+        let known = self.follower.newest().0;
+        let table = if epoch > known { Table::decode(body, self.count) } else { None };
+        let (mark, _) = node.mark();
+        if !self.follower.news(now, epoch, table, mark) {
+            return;
+        }
+        let (epoch, table) = self.follower.newest();
+        self.effects.push(Effect::Decided(Decided {
+            epoch,
+            table: table.clone(),
+            leader: node.leader(),
+            own: self.last_proposed == epoch,
+            voters: node.followers(),
+            sights: self.sights(now, node),
+        }));
+    }
+
+    /// What the fleet's dispatchers saw of each zone; nothing where it is no voter.
+    pub fn sights(&self, now: f64, node: &Node) -> Vec<Sight> {
+        let zones = if node.votes().is_some() { self.count } else { 0 };
+        (0..zones).map(|zone| self.evidence.sight(now, zone)).collect()
+    }
+
+    /// Sends its sums to the voters, itself among them.
+    fn tell(&mut self, now: f64, node: &mut Node, digest: Digest) {
+        if node.votes().is_some() {
+            self.evidence.hear(now, node.own(), digest.clone(), self.count);
+        }
+        // Into a vector nothing can fail to fit.
+        let bytes = postcard::to_stdvec(&Told(digest)).unwrap_or_default();
+        let (own, voters) = (node.own(), node.voters().to_vec());
+        for voter in voters.into_iter().filter(|voter| *voter != own) {
+            node.say(voter, TOPIC, bytes.clone());
+        }
+    }
+
+    /// As the leader, proposes what the evidence asks for.
+    fn decide(&mut self, now: f64, node: &mut Node) {
+        if !node.leads() {
+            self.decider = None;
+            return;
+        }
+        let (epoch, table) = self.follower.newest();
+        let decider = self.decider.get_or_insert_with(|| Decider::new(self.rules, now, table));
+        // A zone is cut off for the others only where half of its dispatchers are not there either.
+        let gone: Vec<bool> = (0..self.count)
+            .map(|zone| {
+                let here = || node.places().iter().zip(node.up()).filter(|(place, _)| place.zone == zone);
+                let down = here().filter(|(_, up)| !**up).count();
+                here().count() > 0 && down * 2 >= here().count()
+            })
+            .collect();
+        // What the node knows may be newer than what is followed here; then it is looked at first.
+        if let Some(next) = decider.decide(now, table, &self.evidence, &gone)
+            && node.newest(TOPIC).0 == epoch
+            && node.propose(now, TOPIC, next.encode())
+        {
+            self.last_proposed = epoch + 1;
+        }
+        self.follow(now, node);
+    }
+
+    /// What the dispatcher is to do by now.
+    fn look(&mut self, now: f64, seen: &[Seen]) {
+        let view = self.follower.view(now, seen);
+        if self.view.as_ref() != Some(view) {
+            self.view = Some(view.clone());
+            self.effects.push(Effect::View(view.clone()));
+        }
+    }
+
+    /// The newest epoch and its table.
+    pub fn newest(&self) -> (u64, &Table) {
+        self.follower.newest()
+    }
+
+    /// What the dispatcher is to do; none before the first look.
+    pub fn view(&self) -> Option<&View> {
+        self.view.as_ref()
+    }
+}
