--- a/src/core/clock.rs
+++ b/src/core/clock.rs
@@ -12,6 +12,7 @@
 
 enum Source {
     System { epoch: f64, start: Instant },
+    Boot { epoch: f64 },
     Manual(Cell<f64>),
 }
 
@@ -22,6 +23,20 @@
         Clock(Rc::new(Source::System { epoch, start: Instant::now() }))
     }
 
+    /// The machine's time, read once and carried on by the clock that also counts while the machine is suspended.
+    pub fn boot() -> Clock {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1e3);
+        Clock(Rc::new(Source::Boot { epoch: epoch - boot_ms() }))
+    }
+
+    /// A time of this clock as `boot_ms` tells it, for another thread.
+    pub fn to_boot(&self, time: f64) -> f64 {
+        match &*self.0 {
+            Source::Boot { epoch } => time - epoch,
+            Source::System { .. } | Source::Manual(_) => time,
+        }
+    }
+
     /// A clock that stands still until it is set.
     pub fn manual(now: f64) -> Clock {
         Clock(Rc::new(Source::Manual(Cell::new(now))))
@@ -38,11 +53,18 @@
     pub fn now(&self) -> f64 {
         match &*self.0 {
             Source::System { epoch, start } => epoch + start.elapsed().as_secs_f64() * 1e3,
+            Source::Boot { epoch } => epoch + boot_ms(),
             Source::Manual(time) => time.get(),
         }
     }
 }
 
+/// Milliseconds since the machine started, those among it for which it was suspended.
+pub fn boot_ms() -> f64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as f64 * 1e3 + time.tv_nsec as f64 / 1e6
+}
+
 /// Milliseconds as the module's microseconds. All conversion is here.
 pub fn micros(ms: f64) -> Micros {
     (ms * 1e3).round().max(0.0) as Micros
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod counters;
+mod pool;
 mod session;
 mod stages;
 mod steer;
@@ -12,8 +13,9 @@
 
 use rustc_hash::FxHashMap;
 
-pub use clock::{Clock, micros, millis};
+pub use clock::{Clock, boot_ms, micros, millis};
 pub use counters::Counters;
+pub use pool::{PoolId, Selector};
 pub use session::{Dispatch, Request, Session, SessionId, Verdict};
 pub use steer::Happened;
 pub use table::{Line, Server, ServerTable};
@@ -23,6 +25,7 @@
 use crate::learned::Learned;
 use crate::settings::Site;
 use crate::telemetry::{Gauges, Telemetry};
+use pool::Pool;
 use steer::Steer;
 
 /// What a front is to do.
@@ -82,6 +85,10 @@
     hurry: Option<(f64, f64)>,
     /// What each zone may get, where that is steered.
     steer: Option<Box<Steer>>,
+    /// Parts of the servers that some requests are kept to.
+    pools: FxHashMap<PoolId, Pool>,
+    last_pool: PoolId,
+    seed: u64,
 }
 
 impl Core {
@@ -105,6 +112,9 @@
             stopping: false,
             hurry: None,
             steer: None,
+            pools: FxHashMap::default(),
+            last_pool: 0,
+            seed,
         }
     }
 
@@ -123,6 +133,7 @@
     /// Takes over settings that fit, and a bound on sessions; what is open goes on under them.
     pub fn adopt(&mut self, site: Site, limit: usize) {
         self.module.adopt(site.settings.clone());
+        self.pools.values_mut().for_each(|pool| pool.adopt(site.settings.clone()));
         (self.site, self.limit) = (site, limit);
     }
 
@@ -191,7 +202,59 @@
         steer.shares = shares;
         let mut members: Vec<Member> = self.table.listed().iter().map(|s| s.line.member).collect();
         steer.fit(&mut members);
-        stages::route::drive(self, Event::Changes(&members));
+        self.tell_list(&members, false);
+    }
+
+    /// Tells the modules of the list, or of its changes.
+    fn tell_list(&mut self, members: &[Member], whole: bool) {
+        fn event(members: &[Member], whole: bool) -> Event<'_> {
+            if whole { Event::List(members) } else { Event::Changes(members) }
+        }
+        stages::route::drive(self, event(members, whole));
+        for id in self.pools.keys().copied().collect::<Vec<_>>() {
+            let own = self.pools.get(&id).map(|pool| pool.own(&self.table, members)).unwrap_or_default();
+            stages::route::drive_in(self, id, event(&own, whole));
+        }
+    }
+
+    /// A pool of these servers: the one that there is, or a new one that knows what the whole's module has learned.
+    /// The caller has said which others are still wanted.
+    pub fn pool(&mut self, selector: &Selector) -> PoolId {
+        if let Some((id, pool)) = self.pools.iter_mut().find(|(_, pool)| pool.selector == *selector) {
+            pool.wanted = true;
+            return *id;
+        }
+        self.last_pool += 1;
+        let (id, settings) = (self.last_pool, self.site.settings.clone());
+        let pool = Pool::new(selector.clone(), settings, self.seed ^ u64::from(id) << 32);
+        self.pools.insert(id, pool);
+        let mut members: Vec<Member> = self.table.listed().iter().map(|s| s.line.member).collect();
+        if let Some(steer) = &self.steer {
+            steer.fit(&mut members);
+        }
+        let own = self.pools[&id].own(&self.table, &members);
+        stages::route::drive_in(self, id, Event::List(&own));
+        let (now, learned) = (micros(self.clock.now()), self.module.learned());
+        if let Some(pool) = self.pools.get_mut(&id) {
+            pool.recall(now, learned);
+        }
+        id
+    }
+
+    /// No pool is wanted any more but those that are asked for from now on; those with requests end with them.
+    pub fn forget_pools(&mut self) {
+        self.pools.values_mut().for_each(|pool| pool.wanted = false);
+        self.pools.retain(|_, pool| pool.open > 0);
+    }
+
+    /// Pools that there are.
+    pub fn pools(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Whether a listed server that takes work is one of these.
+    pub fn has(&self, selector: &Selector) -> bool {
+        pool::has(&self.table, selector)
     }
 
     /// Tells what has happened since the last look.
@@ -232,7 +295,7 @@
     pub fn listed(&mut self, lines: Vec<Line>, whole: bool) {
         self.counters.lists += 1;
         let members = self.take_lines(lines, whole);
-        stages::route::drive(self, if whole { Event::List(&members) } else { Event::Changes(&members) });
+        self.tell_list(&members, whole);
     }
 
     /// A call to discovery has failed, or the watch broke.
@@ -243,7 +306,11 @@
 
     /// A probe has come back, or has not in good time.
     pub fn probed(&mut self, worker: WorkerId, answered: bool, latency: f64, report: Report) {
-        stages::route::drive(self, Event::Probed { worker, answered, latency: micros(latency), report });
+        let probed = Event::Probed { worker, answered, latency: micros(latency), report };
+        stages::route::drive(self, probed);
+        for id in self.pools.keys().copied().collect::<Vec<_>>() {
+            stages::route::drive_in(self, id, probed);
+        }
     }
 
     /// Lets the module know that time has passed, if it asked for that.
@@ -251,11 +318,17 @@
         if self.wake_at.is_some_and(|at| at <= micros(self.clock.now())) {
             stages::route::drive(self, Event::Wake);
         }
+        let now = micros(self.clock.now());
+        let due = self.pools.iter().filter(|(_, pool)| pool.wake_at.is_some_and(|at| at <= now));
+        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+            stages::route::drive_in(self, id, Event::Wake);
+        }
     }
 
     /// When `tick` is to be called next.
     pub fn wake_at(&self) -> Option<f64> {
-        self.wake_at.map(millis)
+        let pools = self.pools.values().filter_map(|pool| pool.wake_at);
+        pools.chain(self.wake_at).min().map(millis)
     }
 
     /// The next command for the front.
@@ -303,7 +376,7 @@
     pub fn recall(&mut self, lines: Vec<Line>, learned: Learned) -> bool {
         if self.counters.lists == 0 {
             let members = self.take_lines(lines, true);
-            stages::route::drive(self, Event::List(&members));
+            self.tell_list(&members, true);
         }
         self.module.recall(micros(self.clock.now()), learned)
     }
--- /dev/null
+++ b/src/core/pool.rs
@@ -0,0 +1,82 @@
+//! Pools: parts of the backend servers that some requests are kept to. Each has a decision module of its own, which sees
+//! only its servers and chooses among them as over the whole list. Where no policy is set up there is none.
+
+use crate::Dispatcher;
+use crate::api::{Member, MemberState, Micros, Settings};
+use crate::core::table::{Line, ServerTable};
+use crate::learned::Learned;
+
+/// A pool's number; 0 is the whole list.
+pub type PoolId = u32;
+
+/// Which servers a pool has: those that pass each test that is given.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Selector {
+    /// Kinds, by the site's order.
+    pub kinds: Option<Vec<u16>>,
+    /// Zones, by the site's order.
+    pub zones: Option<Vec<u16>>,
+    /// Cells.
+    pub cells: Option<Vec<u32>>,
+    /// What their names begin with.
+    pub prefixes: Option<Vec<String>>,
+}
+
+impl Selector {
+    /// Whether a server is one of them.
+    pub fn fits(&self, line: &Line) -> bool {
+        let Line { name, member, .. } = line;
+        self.kinds.as_ref().is_none_or(|kinds| kinds.contains(&member.kind))
+            && self.zones.as_ref().is_none_or(|zones| zones.contains(&member.zone))
+            && self.cells.as_ref().is_none_or(|cells| cells.contains(&member.cell))
+            && self.prefixes.as_ref().is_none_or(|heads| heads.iter().any(|head| name.starts_with(head)))
+    }
+}
+
+/// A pool.
+pub(super) struct Pool {
+    pub(super) selector: Selector,
+    pub(super) module: Dispatcher,
+    /// When the module is to be woken, on its own clock.
+    pub(super) wake_at: Option<Micros>,
+    /// New requests may be kept to it.
+    pub(super) wanted: bool,
+    /// Requests that are.
+    pub(super) open: usize,
+}
+
+impl Pool {
+    /// A pool whose module knows no servers yet.
+    pub(super) fn new(selector: Selector, settings: Settings, seed: u64) -> Pool {
+        let module = Dispatcher::new(quiet(settings), seed);
+        Pool { selector, module, wake_at: None, wanted: true, open: 0 }
+    }
+
+    /// Its own of some members.
+    pub(super) fn own(&self, table: &ServerTable, members: &[Member]) -> Vec<Member> {
+        let ours = |m: &&Member| table.get(m.worker).is_some_and(|server| self.selector.fits(&server.line));
+        members.iter().filter(ours).copied().collect()
+    }
+
+    /// Takes over what another module has learned. Guards against a cold server that gets a new budget with each
+    /// change of policy.
+    pub(super) fn recall(&mut self, now: Micros, learned: Learned) {
+        self.module.recall(now, learned);
+    }
+
+    /// Takes over settings that were read again.
+    pub(super) fn adopt(&mut self, settings: Settings) {
+        self.module.adopt(quiet(settings));
+    }
+}
+
+/// A pool's settings: the list is asked for by the module of the whole.
+fn quiet(settings: Settings) -> Settings {
+    Settings { must_subscribe: false, ..settings }
+}
+
+/// Whether any listed server that takes work is one of these.
+pub(super) fn has(table: &ServerTable, selector: &Selector) -> bool {
+    let ready = table.listed();
+    ready.iter().any(|s| s.line.member.state == MemberState::Ready && selector.fits(&s.line))
+}
--- a/src/core/session.rs
+++ b/src/core/session.rs
@@ -16,6 +16,8 @@
     pub slots: f64,
     /// Work that the client expects it to be, in milliseconds on a core of speed 1; none: not told.
     pub work: Option<f64>,
+    /// The pool of servers that it is kept to; 0: all.
+    pub pool: super::PoolId,
 }
 
 /// A final answer.
--- a/src/core/stages/book.rs
+++ b/src/core/stages/book.rs
@@ -29,7 +29,17 @@
 
 /// Forgets sessions that are over, once the module has called off their other dispatches.
 pub fn forget(core: &mut Core) {
+    let mut gone = false;
     for id in core.ended.drain(..) {
-        core.sessions.remove(&id);
+        let session = core.sessions.remove(&id);
+        let pool = session.and_then(|session| core.pools.get_mut(&session.request.pool));
+        if let Some(pool) = pool {
+            pool.open -= 1;
+            // The last request of a pool that no rule leads to any more.
+            gone |= pool.open == 0 && !pool.wanted;
+        }
+    }
+    if gone {
+        core.pools.retain(|_, pool| pool.wanted || pool.open > 0);
     }
 }
--- a/src/core/stages/relay.rs
+++ b/src/core/stages/relay.rs
@@ -43,7 +43,11 @@
     }
     let finished = outcome == Outcome::Served || streaming;
     let job = JobId(id);
-    route::drive(core, Event::Ended(Ended { job, attempt, worker, outcome, latency, finished, report }));
+    route::drive_of(
+        core,
+        id,
+        Event::Ended(Ended { job, attempt, worker, outcome, latency, finished, report }),
+    );
     true
 }
 
@@ -51,7 +55,7 @@
 pub fn started(core: &mut Core, id: SessionId, attempt: usize) {
     let dispatch = core.sessions.get(&id).and_then(|s| s.dispatches.get(attempt));
     if dispatch.is_some_and(|d| d.out) {
-        route::drive(core, Event::Started { job: JobId(id), attempt });
+        route::drive_of(core, id, Event::Started { job: JobId(id), attempt });
     }
 }
 
@@ -81,7 +85,7 @@
     let Some(dispatch) = session.dispatches.get_mut(attempt).filter(|d| d.out) else { return false };
     dispatch.began.get_or_insert(now);
     if !std::mem::replace(&mut session.streaming, true) {
-        route::drive(core, Event::Streaming(JobId(id)));
+        route::drive_of(core, id, Event::Streaming(JobId(id)));
     }
     true
 }
@@ -92,5 +96,5 @@
     session.over = true;
     core.ended.push(id);
     core.counters.left += 1;
-    route::drive(core, Event::ClientLeft(JobId(id)));
+    route::drive_of(core, id, Event::ClientLeft(JobId(id)));
 }
--- a/src/core/stages/route.rs
+++ b/src/core/stages/route.rs
@@ -2,24 +2,42 @@
 
 use crate::api::{Action, Event, Job, JobId};
 use crate::core::stages::{book, send};
-use crate::core::{Core, Request, Session, SessionId, Verdict, micros, millis};
+use crate::core::{Core, PoolId, Request, Session, SessionId, Verdict, micros, millis};
 
 /// Hands a new session to the module.
 pub fn arrive(core: &mut Core, id: SessionId, request: Request) {
     core.sessions.insert(id, Session { request, dispatches: Vec::new(), over: false, streaming: false });
+    if let Some(pool) = core.pools.get_mut(&request.pool) {
+        pool.open += 1;
+    }
     let (due, work) = (micros(request.due), request.work.map(micros));
     let job = Job { id: JobId(id), class: request.class, due, slots: request.slots, work };
-    drive(core, Event::Job(job));
+    drive_in(core, request.pool, Event::Job(job));
+}
+
+/// Drives the module of a session with one event and carries its actions on.
+pub fn drive_of(core: &mut Core, session: SessionId, event: Event<'_>) {
+    let pool = core.sessions.get(&session).map_or(0, |session| session.request.pool);
+    drive_in(core, pool, event);
 }
 
-/// Drives the module with one event and carries its actions on.
+/// Drives the module of the whole list.
 pub fn drive(core: &mut Core, event: Event<'_>) {
+    drive_in(core, 0, event);
+}
+
+/// Drives one module with one event and carries its actions on.
+pub fn drive_in(core: &mut Core, pool: PoolId, event: Event<'_>) {
     let now = micros(core.clock.now());
     // Any event wakes the module, which then asks anew for what is left. Guards against sessions that never end: a
     // time that has passed, kept until the next tick, would hide the later one asked for meanwhile.
-    core.wake_at = core.wake_at.filter(|&at| at > now);
     let mut actions = std::mem::take(&mut core.actions);
-    core.module.handle(now, event, &mut actions);
+    let (module, wake_at) = match core.pools.get_mut(&pool) {
+        Some(pool) => (&mut pool.module, &mut pool.wake_at),
+        None => (&mut core.module, &mut core.wake_at),
+    };
+    *wake_at = wake_at.filter(|&at| at > now);
+    module.handle(now, event, &mut actions);
     for action in actions.drain(..) {
         match action {
             Action::Send { job, worker } => send::send(core, job.0, worker),
@@ -32,7 +50,8 @@
             Action::Probe { worker } => send::probe(core, worker),
             Action::Subscribe => send::subscribe(core),
             Action::WakeAt(at) => {
-                core.wake_at = Some(core.wake_at.map_or(at, |earlier| earlier.min(at)));
+                let wake_at = core.pools.get_mut(&pool).map_or(&mut core.wake_at, |pool| &mut pool.wake_at);
+                *wake_at = Some(wake_at.map_or(at, |earlier| earlier.min(at)));
             }
         }
     }
--- a/src/council/mod.rs
+++ b/src/council/mod.rs
@@ -233,6 +233,14 @@
         if self.leads() { &self.followers } else { &[] }
     }
 
+    /// Whether all that is in its log is decided.
+    pub fn settled(&self) -> bool {
+        match &self.phase {
+            Phase::Voting(omni) => omni.get_accepted_idx() <= omni.get_decided_idx(),
+            _ => false,
+        }
+    }
+
     /// Proposals that were void.
     pub fn void(&self) -> u64 {
         self.void
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -459,12 +459,10 @@
         (self.mark, self.marked)
     }
 
-    /// The voter that leads, as a member, as far as is known here.
+    /// The voter that leads, as a member, as far as is known here: the one that a majority was last known to follow. A
+    /// voter that was away may not know that by its own log for long.
     pub fn leader(&self) -> Option<Member> {
-        let leader = match &self.council {
-            Some(council) => council.leader(),
-            None => self.mark.leader(),
-        };
+        let leader = self.mark.leader().or_else(|| self.council.as_ref()?.leader());
         self.voters.get((leader? as usize).checked_sub(1)?).copied()
     }
 
@@ -551,6 +549,11 @@
         self.council.as_ref().is_some_and(Council::leads)
     }
 
+    /// Whether all that this voter has in its log is decided.
+    pub fn settled(&self) -> bool {
+        self.council.as_ref().is_some_and(Council::settled)
+    }
+
     /// Proposals that were void, as another was decided before them.
     pub fn void(&self) -> u64 {
         self.council.as_ref().map_or(0, Council::void)
--- a/src/front/console/mod.rs
+++ b/src/front/console/mod.rs
@@ -27,6 +27,8 @@
     Evacuate,
     /// Take clients again.
     Activate,
+    /// Where the policy that is shared stands.
+    Policy,
 }
 
 /// What came on a connection.
@@ -47,6 +49,7 @@
             "telemetry" => Heard::Call(Call::Telemetry),
             "evacuate" => Heard::Call(Call::Evacuate),
             "activate" => Heard::Call(Call::Activate),
+            "policy" => Heard::Call(Call::Policy),
             "" => Heard::Wrong("empty call"),
             _ => Heard::Wrong("unknown call"),
         }
--- a/src/front/fleet/config.rs
+++ b/src/front/fleet/config.rs
@@ -7,7 +7,9 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::fleet::{MOST_MEMBERS, Place};
+use crate::fleet::{LONGEST_PAPER, MOST_MEMBERS, Place};
+use crate::ingest::Policy;
+use crate::rollout;
 use crate::zones::{MOST_ZONES, Rules};
 
 /// What is wrong with the table.
@@ -33,6 +35,9 @@
     /// A voter has nowhere to remember its votes.
     #[error("fleet: `{0}` is a voter and needs `state`, a file that lasts over a restart")]
     State(String),
+    /// Policies are shared, and there is nobody to share them with.
+    #[error("rollout: it needs the table [fleet]")]
+    Alone,
     /// A figure that is out of its bounds.
     #[error("fleet: `{name}` is {value}, and must be from {least} to {most}")]
     OutOf {
@@ -64,6 +69,40 @@
     member: Vec<MemberTable>,
 }
 
+/// The table `rollout` as the file has it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutTable {
+    policy: PathBuf,
+    keep: PathBuf,
+    lease_ms: Option<f64>,
+    hold_ms: Option<f64>,
+}
+
+/// How policies are shared.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    /// The policy that this member's operator wants.
+    pub policy: PathBuf,
+    /// Where policies are kept.
+    pub keep: PathBuf,
+    /// How changes are made.
+    pub rules: rollout::Rules,
+}
+
+impl Rollout {
+    /// Reads the policy that is wanted: its version, and its text.
+    pub fn read(&self) -> Result<(u64, String), String> {
+        let path = self.policy.display();
+        let text = std::fs::read_to_string(&self.policy).map_err(|e| format!("{path}: {e}"))?;
+        if text.len() > LONGEST_PAPER {
+            return Err(format!("{path}: {} bytes, and {LONGEST_PAPER} at most", text.len()));
+        }
+        let version = Policy::version(&text).map_err(|e| format!("{path}: {e}"))?;
+        Ok((version, text))
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct MemberTable {
@@ -116,11 +155,13 @@
     pub places: Vec<Place>,
     /// This member.
     pub own: usize,
+    /// How policies are shared, where they are.
+    pub rollout: Option<Rollout>,
 }
 
 impl FleetTable {
     /// Checks it; all that is wrong.
-    pub fn check(self) -> Result<Config, Vec<ConfigError>> {
+    pub fn check(self, rollout: Option<RolloutTable>) -> Result<Config, Vec<ConfigError>> {
         let mut errors = Vec::new();
         let mut known = BTreeSet::new();
         let mut once = |name: String| (!known.insert(name.clone())).then_some(ConfigError::Twice(name));
@@ -154,6 +195,12 @@
             margin: within("margin", given.margin.unwrap_or(usual.margin), 0.1, 1.0),
             keep: within("keep_ms", given.keep_ms.unwrap_or(usual.keep), 3000.0, 36e5),
         };
+        let rollout = rollout.map(|table| {
+            let usual = rollout::Rules::default();
+            let lease = within("rollout.lease_ms", table.lease_ms.unwrap_or(usual.lease), 2000.0, 6e5);
+            let hold = within("rollout.hold_ms", table.hold_ms.unwrap_or(usual.hold), 50.0, 1000.0);
+            Rollout { policy: table.policy, keep: table.keep, rules: rollout::Rules { lease, hold } }
+        });
         let mut places = Vec::new();
         for member in &self.member {
             match self.zones.iter().position(|zone| *zone == member.zone) {
@@ -187,6 +234,7 @@
                 addresses: self.member.iter().map(|member| member.address).collect(),
                 places,
                 own,
+                rollout,
             }),
             _ => Err(errors),
         }
@@ -206,7 +254,7 @@
     #[test]
     fn a_table_with_anything_wrong_is_refused_with_what_it_is() {
         let read = |text: &str| toml::from_str::<FleetTable>(text).map_err(|e| e.to_string());
-        let config = read(GOOD).unwrap().check().unwrap();
+        let config = read(GOOD).unwrap().check(None).unwrap();
         assert_eq!((config.own, config.places[2].zone, config.rules.margin), (0, 1, 0.8));
         for (from, to, says) in [
             ("name = \"n0\"\nstate", "name = \"n9\"\nstate", "no [[fleet.member]] has that name"),
@@ -219,7 +267,7 @@
             ("margin = 0.8", "close_after_ms = nan", "`close_after_ms` is NaN"),
             ("cluster = \"c\"", "cluster = \"\"", "`cluster (its length)` is 0"),
         ] {
-            let errors = read(&GOOD.replacen(from, to, 1)).unwrap().check().expect_err(says);
+            let errors = read(&GOOD.replacen(from, to, 1)).unwrap().check(None).expect_err(says);
             let said: Vec<String> = errors.iter().map(ToString::to_string).collect();
             assert!(said.iter().any(|error| error.contains(says)), "{says}: {said:?}");
         }
--- a/src/front/fleet/mod.rs
+++ b/src/front/fleet/mod.rs
@@ -5,19 +5,25 @@
 mod config;
 mod disk;
 mod figures;
+mod keep;
 mod thread;
 
+use std::collections::VecDeque;
+
 use calloop::channel::{self, SyncSender};
 use calloop::{LoopHandle, RegistrationToken};
 
-pub use config::{Config, ConfigError, FleetTable};
+pub use config::{Config, ConfigError, FleetTable, Rollout, RolloutTable};
 
-use super::Gateway;
+use super::platform::Platform;
+use super::{Gateway, Sockets};
 use crate::core::{Clock, Core, Happened};
 use crate::fleet::TICK;
 use crate::zones::WHOLE;
 use thread::{Said, Told};
 
+pub use thread::Order;
+
 /// Messages that may wait on their way, each way: a few seconds of them.
 const WAITING: usize = 256;
 
@@ -37,6 +43,13 @@
     /// What the thread said that is not carried out yet: the newest shares.
     view: Option<(Vec<u16>, u16)>,
     figures: String,
+    /// What the thread wants done with the policy, in order.
+    orders: VecDeque<Order>,
+    /// Answers to it that the thread had no room for yet, in order.
+    answers: VecDeque<Told>,
+    /// Where the policy stands, where one is shared.
+    policy: Option<String>,
+    shares_policy: bool,
     /// Messages that the thread had no room for.
     lost: u64,
 }
@@ -48,10 +61,12 @@
         if let Some(path) = &config.state {
             disk::read(path, config.generation)?;
         }
+        let shares_policy = config.rollout.is_some();
+        let wanted = config.rollout.as_ref().map(Rollout::read).transpose()?;
         let (names, slots) = (config.zones.clone(), config.slots);
         let (say, said) = channel::sync_channel(WAITING);
         let (tell, told) = channel::sync_channel(WAITING);
-        thread::start(config, told, say).map_err(|e| format!("the fleet's thread: {e}"))?;
+        thread::start(config, wanted, told, say).map_err(|e| format!("the fleet's thread: {e}"))?;
         let source = handle.insert_source(said, |event, (), gateway: &mut Gateway| {
             if let (channel::Event::Msg(said), Some(fleet)) = (event, &mut gateway.fleet) {
                 fleet.hear(said);
@@ -70,6 +85,10 @@
             next,
             view: None,
             figures: figures::open(false),
+            orders: VecDeque::new(),
+            answers: VecDeque::new(),
+            policy: None,
+            shares_policy,
             lost: 0,
         })
     }
@@ -85,6 +104,59 @@
         match said {
             Said::View { shares, admit } => self.view = Some((shares, admit)),
             Said::Figures(text) => self.figures = text,
+            Said::Standing(text) => self.policy = Some(text),
+            Said::Order(order) => self.orders.push_back(order),
+        }
+    }
+
+    /// Whether policies are shared: then a front asks before it starts a request.
+    pub fn shares_policy(&self) -> bool {
+        self.shares_policy
+    }
+
+    /// Where the policy stands, where one is shared.
+    pub fn policy(&self) -> Option<&String> {
+        self.policy.as_ref()
+    }
+
+    /// The operator wants this version.
+    pub fn want(&mut self, version: u64, text: String) {
+        self.answers.push_back(Told::Want { version, text });
+        self.flush();
+    }
+
+    /// What is to be done next with the policy.
+    pub fn order(&mut self) -> Option<Order> {
+        self.orders.pop_front()
+    }
+
+    /// Has a front carry an order out, and tells the thread what came of it.
+    pub fn carry_out(&mut self, net: &mut Sockets, front: &mut Platform, order: Order) {
+        match order {
+            Order::Check { version, text } => {
+                let errors = front.check(&text).err().unwrap_or_default();
+                let error = (!errors.is_empty())
+                    .then(|| errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "));
+                self.answers.push_back(Told::Checked { version, error });
+            }
+            Order::Hold(hold) => {
+                front.hold(net, true);
+                self.answers.push_back(Told::Holding(hold));
+            }
+            Order::Release => front.hold(net, false),
+            Order::Apply { text } => front.apply(&text),
+            Order::Serve(until) => front.serve_until(net, until),
+        }
+        self.flush();
+    }
+
+    fn flush(&mut self) {
+        while let Some(answer) = self.answers.pop_front() {
+            let Some(Err(refused)) = self.tell.as_ref().map(|tell| tell.try_send(answer)) else { continue };
+            match refused {
+                std::sync::mpsc::TrySendError::Full(answer) => return self.answers.push_front(answer),
+                std::sync::mpsc::TrySendError::Disconnected(_) => return,
+            }
         }
     }
 
@@ -99,6 +171,7 @@
             return;
         }
         self.next = now + TICK;
+        self.flush();
         let (mut came, mut ended) = (Vec::new(), Vec::new());
         let mut there = vec![(0, 0); self.names.len()];
         let places = |zone: u16| self.zones.get(usize::from(zone)).copied().flatten();
@@ -130,7 +203,7 @@
     /// When `tick` is to be called next.
     pub fn next(&self) -> f64 {
         match &self.tell {
-            Some(_) if self.view.is_some() => 0.0,
+            Some(_) if self.view.is_some() || !self.orders.is_empty() => 0.0,
             Some(_) => self.next,
             None => f64::INFINITY,
         }
--- a/src/front/fleet/thread.rs
+++ b/src/front/fleet/thread.rs
@@ -5,6 +5,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::sync::mpsc::TrySendError;
 use std::time::Duration;
 
 use calloop::channel::{self, Channel, SyncSender};
@@ -15,10 +16,11 @@
 
 use super::config::Config;
 use super::disk::{self, Disk};
-use super::figures;
+use super::{figures, keep};
 use crate::core::Clock;
 use crate::council::Write;
 use crate::fleet::{self, LONGEST, Member};
+use crate::rollout;
 use crate::shared::{Effect, Setup, Shared};
 use crate::zones::{self, End, Sight, State, Table};
 
@@ -39,6 +41,12 @@
     /// What happened since the last time: requests that came, turned away or not; dispatches that ended, by zone; the
     /// requests that are open; and of each zone what is out there and how many slots are listed.
     Work { came: Vec<bool>, ended: Vec<(usize, End, f64)>, open: usize, there: Vec<(u16, u16)> },
+    /// The operator wants this version of the policy.
+    Want { version: u64, text: String },
+    /// A policy was checked: nothing, or what is wrong with it here.
+    Checked { version: u64, error: Option<String> },
+    /// The fronts hold what comes in.
+    Holding(rollout::Hold),
 }
 
 /// What the thread says to the fronts.
@@ -47,6 +55,33 @@
     View { shares: Vec<u16>, admit: u16 },
     /// The figures.
     Figures(String),
+    /// Where the policy stands.
+    Standing(String),
+    /// What is to be done with the policy.
+    Order(Order),
+}
+
+/// What fronts are to do with the policy, in order.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Check it against what is known here.
+    Check {
+        /// Its version.
+        version: u64,
+        /// Its text.
+        text: String,
+    },
+    /// Hold what comes in.
+    Hold(rollout::Hold),
+    /// Let what was held go on.
+    Release,
+    /// It is in force.
+    Apply {
+        /// Its text.
+        text: String,
+    },
+    /// Requests may be started until then, as `core::boot_ms` tells it.
+    Serve(f64),
 }
 
 /// What is open while this process holds the fleet's address.
@@ -76,6 +111,11 @@
     tells: f64,
     /// Shares that the fronts had no room for yet.
     view: Option<(Vec<u16>, u16)>,
+    /// What the fronts are to do with the policy and had no room for yet.
+    orders: VecDeque<Order>,
+    /// The policy that the operator wants, and whether it is only the file of the start.
+    wanted: Option<(u64, String)>,
+    standing: String,
     /// Datagrams from addresses that nobody has.
     strangers: u64,
     /// Datagrams that the system did not take.
@@ -84,23 +124,34 @@
 }
 
 /// Starts the thread. It ends when the fronts' side of the channel is gone.
-pub(super) fn start(config: Config, told: Channel<Told>, say: SyncSender<Said>) -> io::Result<()> {
+pub(super) fn start(
+    config: Config,
+    wanted: Option<(u64, String)>,
+    told: Channel<Told>,
+    say: SyncSender<Said>,
+) -> io::Result<()> {
     std::thread::Builder::new().name("fleet".into()).spawn(move || {
-        if let Err(e) = run(config, told, say) {
+        if let Err(e) = run(config, wanted, told, say) {
             crate::say(format_args!("the fleet's loop has ended: {e}"));
         }
     })?;
     Ok(())
 }
 
-fn run(config: Config, told: Channel<Told>, say: SyncSender<Said>) -> Result<(), calloop::Error> {
+fn run(
+    config: Config,
+    wanted: Option<(u64, String)>,
+    told: Channel<Told>,
+    say: SyncSender<Said>,
+) -> Result<(), calloop::Error> {
     let mut events: EventLoop<'static, Loop> = EventLoop::try_new()?;
     let source = events.handle().insert_source(told, |event, (), shared: &mut Loop| match event {
         channel::Event::Msg(told) => shared.hear(told),
         channel::Event::Closed => shared.over = true,
     });
     source.map_err(|e| e.error)?;
-    let clock = Clock::system();
+    // Leases count while the machine is suspended.
+    let clock = Clock::boot();
     let members = config.addresses.iter().enumerate();
     let members = members.map(|(at, address)| (*address, at as Member)).collect();
     let mut shared = Loop {
@@ -115,6 +166,9 @@
         there: Vec::new(),
         tells: clock.now(),
         view: None,
+        orders: VecDeque::new(),
+        wanted,
+        standing: String::new(),
         strangers: 0,
         unsent: 0,
         buffer: vec![0; LONGEST + 1],
@@ -132,14 +186,47 @@
 
 impl Loop {
     fn hear(&mut self, told: Told) {
-        let Told::Work { came, ended, open, there } = told;
-        (self.requests, self.there) = (open, there);
+        let now = self.clock.now();
+        let (came, ended) = match told {
+            Told::Work { came, ended, open, there } => {
+                (self.requests, self.there) = (open, there);
+                (came, ended)
+            }
+            Told::Want { version, text } => {
+                self.wanted = Some((version, text));
+                return self.want(now);
+            }
+            Told::Checked { version, error } => {
+                return self.policy(|member| member.checked(now, version, error));
+            }
+            Told::Holding(hold) => return self.policy(|member| member.holding(now, hold)),
+        };
         let Some(open) = &mut self.open else { return };
         let tally = open.shared.zones_mut().tally();
         came.into_iter().for_each(|turned| tally.arrived(turned));
         ended.into_iter().for_each(|(zone, end, took)| tally.ended(zone, end, took));
     }
 
+    /// Has the member's part of the policy do something.
+    fn policy(&mut self, with: impl FnOnce(&mut rollout::Member)) {
+        let now = self.clock.now();
+        if let Some(open) = &mut self.open {
+            open.shared.policy(now, |member, _| with(member));
+        }
+    }
+
+    /// Tells the others of the version that the operator wants.
+    fn want(&mut self, now: f64) {
+        let (Some(open), Some((version, text))) = (&mut self.open, &self.wanted) else { return };
+        let wants = |member: &mut rollout::Member, node: &mut fleet::Node| {
+            member.wants(now, node, *version, text.as_bytes())
+        };
+        if let Some(Err(e)) = open.shared.policy(now, wants) {
+            crate::say(format_args!("the policy's file is not taken: {e}"));
+        }
+        self.wanted = None;
+    }
+
     fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
         let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
         socket.bind(&address.into())?;
@@ -173,8 +260,16 @@
             session: now as u64,
             seed: now as u64 ^ (own as u64) << 48,
         };
-        let setup = Setup { fleet, zones: self.config.zones.len(), rules: self.config.rules, rollout: None };
-        let shared = Shared::new(setup, kept, now).map_err(|e| e.to_string())?;
+        let rollout = self.config.rollout.as_ref().map(|rollout| rollout.rules);
+        let setup = Setup { fleet, zones: self.config.zones.len(), rules: self.config.rules, rollout };
+        let mut shared = Shared::new(setup, kept, now).map_err(|e| e.to_string())?;
+        if let Some(rollout) = &self.config.rollout {
+            let dir = rollout.keep.display();
+            let papers = keep::read(&rollout.keep).map_err(|e| format!("{dir}: {e}"))?;
+            for paper in papers {
+                shared.policy(now, |_, node| node.keep(&paper));
+            }
+        }
         let source = Generic::new(Rc::clone(&socket), Interest::READ, Mode::Level);
         let added = self.handle.insert_source(source, |_, _, shared: &mut Loop| {
             shared.read();
@@ -229,6 +324,10 @@
     /// Does what is due by now.
     fn tick(&mut self) {
         let now = self.clock.now();
+        // Only once it knows what is decided can it tell whether its file is news.
+        if self.wanted.is_some() && self.open.as_ref().is_some_and(|open| open.shared.follows(now)) {
+            self.want(now);
+        }
         if self.retry.is_some_and(|at| at <= now)
             && let Err(e) = self.open(now)
         {
@@ -253,6 +352,21 @@
             // The next ones are as good.
             let _ = self.say.try_send(Said::Figures(text));
         }
+        while let Some(order) = self.orders.pop_front() {
+            if let Err(refused) = self.say.try_send(Said::Order(order)) {
+                if let TrySendError::Full(Said::Order(order)) = refused {
+                    self.orders.push_front(order);
+                }
+                break;
+            }
+        }
+        let standing = self.open.as_ref().and_then(|open| open.shared.standing());
+        if let Some(text) =
+            standing.map(|standing| line(&standing, now)).filter(|text| *text != self.standing)
+            && self.say.try_send(Said::Standing(text.clone())).is_ok()
+        {
+            self.standing = text;
+        }
         if let Some((shares, admit)) = self.view.take()
             && self.say.try_send(Said::View { shares: shares.clone(), admit }).is_err()
         {
@@ -262,6 +376,7 @@
 
     /// Carries out what is to be done.
     fn carry_out(&mut self) {
+        let mut policy = Vec::new();
         let Some(open) = &mut self.open else { return };
         for effect in open.shared.effects() {
             match effect {
@@ -275,15 +390,68 @@
                 Effect::Ground(fleet::Effect::Write(_)) => open.shared.written(self.clock.now(), false),
                 Effect::Zones(zones::Effect::View(view)) => self.view = Some((view.shares, view.admit)),
                 Effect::Zones(zones::Effect::Decided(decided)) => log(&self.config, &decided),
-                Effect::Rollout(_) => {}
+                Effect::Rollout(effect) => policy.push(effect),
             }
         }
+        let mut again = false;
+        for effect in policy {
+            again |= self.carry_out_policy(effect);
+        }
+        let Some(open) = &mut self.open else { return };
         while let (Some(disk), Some(write)) = (&open.disk, open.writes.pop_front()) {
             if !disk.write(write.clone()) {
                 open.writes.push_front(write);
                 break;
             }
         }
+        // What was carried out may be told to the others at once.
+        if again {
+            self.carry_out();
+        }
+    }
+
+    /// Carries out what is to be done with the policy. Whether anything came of it at once.
+    fn carry_out_policy(&mut self, effect: rollout::Effect) -> bool {
+        use rollout::Effect;
+        let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
+        match effect {
+            Effect::Save(hash, bytes) => {
+                let kept = self.config.rollout.as_ref().map(|rollout| keep::write(&rollout.keep, &bytes));
+                let error = kept.and_then(Result::err).map(|e| format!("it cannot be kept: {e}"));
+                self.policy(|member| member.saved(hash, error));
+                return true;
+            }
+            Effect::Check(policy, bytes) => {
+                self.orders.push_back(Order::Check { version: policy.version, text: text(bytes) });
+            }
+            Effect::Hold(hold) => self.orders.push_back(Order::Hold(hold)),
+            Effect::Release => self.orders.push_back(Order::Release),
+            // Before any policy there is nothing to take over.
+            Effect::Apply(policy, _) if policy.version == 0 => {}
+            Effect::Apply(_, bytes) => self.orders.push_back(Order::Apply { text: text(bytes) }),
+            Effect::Serve(until) => self.orders.push_back(Order::Serve(self.clock.to_boot(until))),
+            Effect::Decided(decision) => {
+                let last = decision.last.clone().unwrap_or(rollout::Outcome {
+                    version: 0,
+                    in_force: false,
+                    reason: String::new(),
+                });
+                let (in_force, staged) =
+                    (decision.policy.version, decision.staged.map_or(0, |staged| staged.version));
+                let (version, outcome) = (last.version, if last.in_force { "in force" } else { "given up" });
+                let hash = fleet::short(&decision.policy.hash);
+                tracing::info!(
+                    in_force,
+                    hash,
+                    staged,
+                    version,
+                    outcome,
+                    reason = last.reason,
+                    "policy decided"
+                );
+            }
+        }
+        false
     }
 
     /// When `tick` is to be called next.
@@ -293,6 +461,24 @@
     }
 }
 
+/// Where the policy stands, in a line.
+fn line(standing: &rollout::Standing, now: f64) -> String {
+    let rollout::Standing { version, decision, epoch, holds, until, wants } = standing;
+    let number = |version: Option<u64>| version.map_or("none".to_string(), |version| version.to_string());
+    let last = decision.last.as_ref().map_or("none".to_string(), |last| match last.in_force {
+        true => format!("{} in force", last.version),
+        false => format!("{} given up: {}", last.version, last.reason.replace('\n', " ")),
+    });
+    format!(
+        "runs {version} decided {} staged {} wanted {} epoch {epoch} serves {} holds {} last {last}",
+        decision.policy.version,
+        number(decision.staged.map(|staged| staged.version)),
+        number(*wants),
+        if *until > now { "yes" } else { "no" },
+        if *holds { "yes" } else { "no" },
+    )
+}
+
 /// Tells of a decision of zones in the log.
 fn log(config: &Config, decided: &zones::Decided) {
     let zones::Decided { epoch, table, leader, own, voters, sights } = decided;
--- a/src/front/gearman/clients.rs
+++ b/src/front/gearman/clients.rs
@@ -90,8 +90,13 @@
         if key.is_some() && !self.record.make_room(now) {
             return self.error(net, id, "record_full", "try again later: nothing was run");
         }
-        let request =
-            Request { class: number, due: now + self.config.functions[number].wait, slots: 1.0, work: None };
+        let request = Request {
+            class: number,
+            due: now + self.config.functions[number].wait,
+            slots: 1.0,
+            work: None,
+            pool: 0,
+        };
         match self.core.request(request) {
             Ok(session) => {
                 let job = Job {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -172,6 +172,11 @@
         }
         if let Some(fleet) = &mut self.fleet {
             fleet.tick(self.platform.as_mut().map(Platform::core_mut));
+            while let Some(order) = fleet.order() {
+                if let Some(front) = &mut self.platform {
+                    fleet.carry_out(&mut self.net, front, order);
+                }
+            }
         }
         if let Some(front) = &mut self.platform {
             front.tick(&mut self.net);
@@ -208,6 +213,10 @@
             Call::Readyz if self.life.ready() => "ACK ready\n".into(),
             Call::Readyz => format!("NAK {}\n", phase(self.life.phase())),
             Call::Telemetry => self.telemetry() + "--\n",
+            Call::Policy => match self.fleet.as_ref().and_then(Fleet::policy) {
+                Some(standing) => format!("ACK {standing}\n"),
+                None => "NAK no policy is shared\n".into(),
+            },
             Call::Evacuate | Call::Activate if self.life.stopping() => "NAK stopping\n".into(),
             Call::Evacuate | Call::Activate => {
                 let evacuate = call == Call::Evacuate;
@@ -254,7 +263,8 @@
     /// Reads the files again and takes their settings over; what is in flight goes on. An error leaves all
     /// settings in force as they are.
     pub fn reload(&mut self) -> Result<(), String> {
-        let Configs { platform: config, gearman: file, stream, .. } = self.files.read()?;
+        let Configs { platform: config, gearman: file, stream, fleet, .. } = self.files.read()?;
+        let wanted = fleet.and_then(|fleet| fleet.rollout).map(|rollout| rollout.read()).transpose()?;
         // All must fit before any is taken over.
         let of = |files: &Option<String>| files.clone().unwrap_or_default();
         if let (Some(front), Some(config)) = (&self.platform, &config) {
@@ -279,6 +289,9 @@
         if let (Some(front), Some(file)) = (&mut self.gearman, file) {
             front.reload(file, identity);
         }
+        if let (Some(fleet), Some((version, text))) = (&mut self.fleet, wanted) {
+            fleet.want(version, text);
+        }
         Ok(())
     }
 
--- a/src/front/operator.rs
+++ b/src/front/operator.rs
@@ -74,6 +74,7 @@
     gearman: Option<GearmanTable>,
     stream: Option<stream::Table>,
     fleet: Option<fleet::FleetTable>,
+    rollout: Option<fleet::RolloutTable>,
 }
 
 /// The keys that Gearman's table may have; its front reads their values.
@@ -136,7 +137,10 @@
     }
     let stream = known.stream.map(stream::Table::check).transpose();
     let stream = stream.map_err(|errors| FileError::Stream { file: file.into(), errors })?;
-    let fleet = known.fleet.map(fleet::FleetTable::check).transpose();
+    let fleet = match (known.fleet, known.rollout) {
+        (None, Some(_)) => Err(vec![fleet::ConfigError::Alone]),
+        (fleet, rollout) => fleet.map(|fleet| fleet.check(rollout)).transpose(),
+    };
     let fleet = fleet.map_err(|errors| FileError::Fleet { file: file.into(), errors })?;
     Ok(Operator { gearman: whole.remove("gearman").map(json), stream, fleet, console: known.console })
 }
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 
 use super::callbacks::Called;
+use super::gate::Way;
 use super::{Job, Platform, seam};
 use crate::core::{Request, SessionId, Verdict};
 use crate::front::Sockets;
@@ -315,7 +316,11 @@
         let close = message.close;
         match (message.method.as_str(), path.as_str()) {
             ("GET", "/up") => {
-                let (status, says) = if self.sends_away() { (503, "evacuating\n") } else { (200, "ready\n") };
+                let (status, says) = if self.sends_away() || !self.gate_open() {
+                    (503, "evacuating\n")
+                } else {
+                    (200, "ready\n")
+                };
                 let process = [(seam::PROCESS, std::process::id().to_string())];
                 self.reply(net, id, status, &process, says.as_bytes(), close);
             }
@@ -350,14 +355,23 @@
                 };
                 self.reply(net, id, status, &[], b"", close);
             }
-            ("POST", _) => self.job(net, id, &path, message),
+            ("POST", _) => self.job(net, id, message),
             _ => self.reply(net, id, 405, &[("Allow", "POST".into())], b"", close),
         }
     }
 
-    fn job(&mut self, net: &mut Sockets, id: ConnId, path: &str, message: Message) {
-        let now = self.core.clock().now();
+    /// A request has come; it goes on at once where nothing holds it.
+    fn job(&mut self, net: &mut Sockets, id: ConnId, message: Message) {
+        if let Some(message) = self.admits(net, id, message) {
+            let now = self.core.clock().now();
+            self.submit(net, id, message, now);
+        }
+    }
+
+    /// Hands a request to the core that came at a time.
+    pub(super) fn submit(&mut self, net: &mut Sockets, id: ConnId, message: Message, now: f64) {
         let close = message.close;
+        let path = message.target.split('?').next().unwrap_or("");
         let name = path.split('/').nth(1).unwrap_or("");
         let Some(class) = self.core.site().grades.iter().position(|g| g.name == name && !name.is_empty())
         else {
@@ -379,8 +393,9 @@
             let own = name == "req-id" || name == "req-deadline";
             !own && (name.starts_with("req-") || PASSED.contains(&name.as_str()))
         };
+        let Way::To(pool) = self.way(class, &message) else { return self.turn_away(net, id, close) };
         let due = now + wait.min(PATIENCE);
-        match self.core.request(Request { class, due, slots, work }) {
+        match self.core.request(Request { class, due, slots, work, pool }) {
             Err(verdict) => self.say(net, id, verdict, close),
             Ok(session) => {
                 let headers = message.headers.into_iter().filter(|(name, _)| passed(name)).collect();
@@ -415,6 +430,12 @@
         self.clients.answered.push(job.client);
     }
 
+    /// Denies a request that the core has not seen, with a time to come back.
+    pub(super) fn turn_away(&mut self, net: &mut Sockets, id: ConnId, close: bool) {
+        let retry_after = self.core.site().max_retry_after;
+        self.say(net, id, Verdict::Denied { retry_after }, close);
+    }
+
     fn say(&mut self, net: &mut Sockets, id: ConnId, verdict: Verdict, close: bool) {
         match verdict {
             Verdict::Served(result) => self.reply(net, id, 200, &[], &result, close),
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -4,6 +4,7 @@
 mod callbacks;
 mod clients;
 mod config;
+mod gate;
 mod probes;
 mod seam;
 
@@ -21,6 +22,7 @@
 use backends::Backends;
 use clients::Clients;
 pub use config::Config;
+use gate::Gate;
 
 /// What a session's request looked like on the wire.
 struct Job {
@@ -44,6 +46,8 @@
     ids: FxHashMap<Rc<str>, SessionId>,
     /// The processes beside this one at an upgrade.
     links: Option<seam::Links>,
+    /// Whether requests may be started now, where a policy is shared.
+    gate: Option<Box<Gate>>,
     stopping: Option<Leaving>,
     /// Clients are sent away: `/up` says no, and connections are closed once they are idle.
     evacuating: bool,
@@ -63,6 +67,7 @@
             jobs: FxHashMap::default(),
             ids: FxHashMap::default(),
             links: None,
+            gate: None,
             stopping: None,
             evacuating: false,
             away_look: f64::INFINITY,
@@ -174,6 +179,7 @@
         self.carry_out(net);
         let now = self.core.clock().now();
         self.sweep_clients(net, now);
+        self.sweep_gate(net, now);
         self.sweep_links(net, now);
         if self.evacuating && !self.closes() && now >= self.away_look {
             // New connections are left alone a while, lest a first call-back be cut off: look again for them.
@@ -201,7 +207,7 @@
         let away = if self.evacuating { self.away_look } else { f64::INFINITY };
         let front = self.backends.next().min(self.discovery.next()).min(self.clients.next());
         let links = self.links.as_ref().map_or(f64::INFINITY, |links| links.next());
-        wake.min(front).min(last_call).min(away).min(links)
+        wake.min(front).min(last_call).min(away).min(links).min(self.gate_next())
     }
 
     /// Sends clients away, or takes them again. What is open is finished, and answered with a close.
@@ -241,7 +247,10 @@
     /// Whether all that was taken is answered, and written as far as peers read.
     pub fn stopped(&mut self, net: &mut Sockets) -> bool {
         let now = self.core.clock().now();
-        let Some(leaving) = self.stopping.as_mut().filter(|_| self.core.open() == 0) else { return false };
+        let idle = self.gate_next() == f64::INFINITY;
+        let Some(leaving) = self.stopping.as_mut().filter(|_| self.core.open() == 0 && idle) else {
+            return false;
+        };
         leaving.is_over(now, || self.clients.all_written(net))
     }
 }
--- a/src/front/stream/relay.rs
+++ b/src/front/stream/relay.rs
@@ -272,8 +272,13 @@
         let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
         exchange.up = Up::Rests;
         self.flow.rest(stream, Way::Up, now);
-        let request =
-            Request { class: exchange.class, due: now + exchange.of.longest, slots: 1.0, work: None };
+        let request = Request {
+            class: exchange.class,
+            due: now + exchange.of.longest,
+            slots: 1.0,
+            work: None,
+            pool: 0,
+        };
         match self.core.request(request) {
             Ok(session) => {
                 exchange.session = Some(session);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod flow;
 pub mod front;
+pub mod ingest;
 pub mod json;
 pub mod learned;
 pub mod ledger;
--- a/src/main.rs
+++ b/src/main.rs
@@ -87,6 +87,9 @@
         note = leave_note(&path, &clock);
         if let Some(fleet) = &mut fleet {
             fleet.steer(front.core_mut());
+            if fleet.shares_policy() {
+                front.guard();
+            }
         }
         front.join(&mut net, local, path, before);
         front
--- a/src/rollout/lead.rs
+++ b/src/rollout/lead.rs
@@ -33,8 +33,8 @@
     Checking,
     /// All are to hold.
     Holding { hold: Hold, since: f64 },
-    /// The change was proposed to the log.
-    Deciding,
+    /// What was held for was proposed to the log, or that it is given up.
+    Deciding { hold: Option<Hold> },
 }
 
 /// The leader's part, from when it began to lead until it does no more.
@@ -42,11 +42,13 @@
 pub struct Lead {
     rules: Rules,
     seats: Vec<Seat>,
-    /// What it has staged itself. What another leader has staged it gives up: whom that one asked, it cannot know.
+    /// What is staged, and since when it leads that.
     staged: Option<(Policy, f64)>,
     phase: Phase,
     attempts: u64,
     next_hold: f64,
+    /// All that the log had when it began to lead is decided, and known here.
+    settled: bool,
 }
 
 impl Lead {
@@ -62,6 +64,7 @@
             phase: Phase::Checking,
             attempts: 0,
             next_hold: now,
+            settled: false,
         }
     }
 
@@ -78,19 +81,26 @@
         }
         let nonce = told.nonce;
         (seat.told, seat.heard) = (told, now);
+        let held = match self.phase {
+            Phase::Holding { hold, .. } | Phase::Deciding { hold: Some(hold) } => Some(hold),
+            Phase::Checking | Phase::Deciding { hold: None } => None,
+        };
+        let holds = held.is_some() && seat.told.holds == held;
+        if let Some(hold) = held.filter(|_| !holds) {
+            node.say(from, TOPIC, Say::Hold(hold).encode());
+        }
+        // What is proposed may be decided much later, as when a majority was away: until then no lease is given but to
+        // those that hold. The same for what a leader before this one may have proposed and the log still has.
+        self.settled |= node.settled();
+        let undecided = matches!(self.phase, Phase::Deciding { hold: Some(_) }) && !holds;
         let (_, marked) = node.mark();
         let left = self.rules.lease - (now - (marked - BACK));
-        if left < 1.0 {
+        if left < 1.0 || undecided || !self.settled {
             return;
         }
         seat.leased = seat.leased.max(now + self.rules.over(left));
         let (epoch, _) = node.newest(TOPIC);
         node.say(from, TOPIC, Say::Lease { nonce, lasts: left as u32, epoch }.encode());
-        if let Phase::Holding { hold, .. } = self.phase
-            && self.seats[usize::from(from)].told.holds != Some(hold)
-        {
-            node.say(from, TOPIC, Say::Hold(hold).encode());
-        }
     }
 
     /// Members that may serve and of which something does not hold.
@@ -108,11 +118,13 @@
             self.phase = Phase::Checking;
             return self.stage(now, node, decision);
         };
-        let Some((_, since)) = self.staged.filter(|own| own.0 == staged) else {
-            return self.give_up(now, node, decision, "the leader that staged it has gone");
-        };
+        // What another leader staged is taken over: all that it was told is asked anew, and holds for it do not count.
+        let (own, mut since) = self.staged.unwrap_or_default();
+        if own != staged {
+            (self.staged, self.phase, since) = (Some((staged, now)), Phase::Checking, now);
+        }
         match self.phase {
-            Phase::Deciding => {}
+            Phase::Deciding { .. } => {}
             Phase::Checking => {
                 let no = self.seats.iter().position(|seat| {
                     let checked = seat.told.checked.as_ref();
@@ -143,10 +155,9 @@
                 if missing.is_empty() {
                     let last = Outcome { version: staged.version, in_force: true, reason: String::new() };
                     let next = Decision { policy: staged, staged: None, last: Some(last), ..decision };
-                    self.phase = Phase::Deciding;
-                    if !node.propose(now, TOPIC, next.encode()) {
-                        // Nothing was proposed, so that nobody can decide it.
-                        self.phase = Phase::Holding { hold, since };
+                    // Where it is not proposed nobody can decide it, and it is tried again.
+                    if node.propose(now, TOPIC, next.encode()) {
+                        self.phase = Phase::Deciding { hold: Some(hold) };
                     }
                 } else if now - since > self.rules.hold {
                     // Only this leader could have had it decided on this hold, and it did not propose it.
@@ -178,7 +189,7 @@
         let last = Outcome { version: staged.version, in_force: false, reason: cut(reason) };
         let next = Decision { staged: None, last: Some(last), ..decision };
         if node.propose(now, TOPIC, next.encode()) {
-            self.phase = Phase::Deciding;
+            self.phase = Phase::Deciding { hold: None };
         }
     }
 
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -375,6 +375,56 @@
     world.until(20_000.0, "all serve again", |w| w.runs(1) || w.runs(0) && w.given_up.contains(&1));
 }
 
+/// Faults by seed while versions are wanted anywhere; healed, all run one version, and then the next.
+fn faults(seed: u64) {
+    let mut world = World::new(seed);
+    world.run(4000.0);
+    for version in 1..12 {
+        let at = world.draws.u16(..MEMBERS as u16);
+        match world.draws.u8(..10) {
+            0 | 1 => world.kill(at),
+            2 => drop(world.frozen.insert(at)),
+            3 => world.frozen.clear(),
+            4 => world.split(&[at, (at + 1) % 5]),
+            5 => drop(world.cut.insert((at, (at + 2) % 5))),
+            6 => world.loss = 0.3 - world.loss,
+            7 => drop(world.refuse.insert((at, version))),
+            _ => world.cut.clear(),
+        }
+        let from = world.draws.u16(..MEMBERS as u16);
+        if world.nodes.contains_key(&from) && !world.frozen.contains(&from) {
+            let _ = world.want(from, version);
+        }
+        let ms = world.draws.u64(50..3000);
+        world.run(ms as f64);
+        for at in 0..MEMBERS as At {
+            if !world.nodes.contains_key(&at) && world.draws.bool() {
+                world.start(at);
+            }
+        }
+    }
+    world.cut.clear();
+    world.frozen.clear();
+    world.refuse.clear();
+    world.loss = 0.0;
+    for at in 0..MEMBERS as At {
+        if !world.nodes.contains_key(&at) {
+            world.start(at);
+        }
+    }
+    world.until(60_000.0, "all run one version", |w| w.runs(w.newest));
+    let next = 50;
+    world.want(0, next).unwrap();
+    world.until(30_000.0, "and the next", |w| w.runs(next));
+}
+
+/// Found by a seed: a change that was proposed as a majority went away was decided when it came back, beside leases that
+/// others had got meanwhile.
+#[test]
+fn what_is_decided_late_finds_no_leases_given_meanwhile() {
+    faults(141_697);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -382,44 +432,6 @@
     /// that only what is decided runs; healed, all run one version.
     #[test]
     fn whatever_fails_a_change_is_everywhere_or_nowhere(seed in 0u64..1_000_000) {
-        let mut world = World::new(seed);
-        world.run(4000.0);
-        for version in 1..12 {
-            let at = world.draws.u16(..MEMBERS as u16);
-            match world.draws.u8(..10) {
-                0 | 1 => world.kill(at),
-                2 => drop(world.frozen.insert(at)),
-                3 => world.frozen.clear(),
-                4 => world.split(&[at, (at + 1) % 5]),
-                5 => drop(world.cut.insert((at, (at + 2) % 5))),
-                6 => world.loss = 0.3 - world.loss,
-                7 => drop(world.refuse.insert((at, version))),
-                _ => world.cut.clear(),
-            }
-            let from = world.draws.u16(..MEMBERS as u16);
-            if world.nodes.contains_key(&from) && !world.frozen.contains(&from) {
-                let _ = world.want(from, version);
-            }
-            let ms = world.draws.u64(50..3000);
-            world.run(ms as f64);
-            for at in 0..MEMBERS as At {
-                if !world.nodes.contains_key(&at) && world.draws.bool() {
-                    world.start(at);
-                }
-            }
-        }
-        world.cut.clear();
-        world.frozen.clear();
-        world.refuse.clear();
-        world.loss = 0.0;
-        for at in 0..MEMBERS as At {
-            if !world.nodes.contains_key(&at) {
-                world.start(at);
-            }
-        }
-        world.until(60_000.0, "all run one version", |w| w.runs(w.newest));
-        let next = 50;
-        world.want(0, next).unwrap();
-        world.until(30_000.0, "and the next", |w| w.runs(next));
+        faults(seed);
     }
 }
--- a/src/shared/mod.rs
+++ b/src/shared/mod.rs
@@ -65,6 +65,12 @@
         &mut self.zones
     }
 
+    /// Whether what is known here to be decided is new: a leader was heard of lately, and it has answered.
+    pub fn follows(&self, now: f64) -> bool {
+        let (mark, marked) = self.node.mark();
+        mark.leader().is_some() && now - marked < 1000.0
+    }
+
     /// How this member stands in changes of policy, where they are set up.
     pub fn standing(&self) -> Option<rollout::Standing> {
         self.rollout.as_ref().map(Rollout::standing)
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -63,7 +63,7 @@
         Program::of(command, Some(config), None, None)
     }
 
-    fn of(
+    pub fn of(
         mut command: Command,
         config: Option<&str>,
         gearman: Option<&str>,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -23,7 +23,7 @@
 }
 
 fn request(class: usize, wait: f64) -> Request {
-    Request { class, due: START + wait, slots: 1.0, work: None }
+    Request { class, due: START + wait, slots: 1.0, work: None, pool: 0 }
 }
 
 fn commands(core: &mut Core) -> Vec<Command> {
