A leader that was replaced gives no leases; the rig's rollout experiment

Cause:: a leader that had been replaced heard of the new one's mark, and gave leases as if the majority followed it. Change: leases count from rounds of its own only (Node::confirmed).

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod program;
 pub mod relay;
+pub mod rollout;
 pub mod stores;
 pub mod streams;
 pub mod upgrade;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use micabeam_rig::streams::{Plan, ladder};
-use micabeam_rig::{RigError, dispatch, stores, streams, upgrade};
+use micabeam_rig::{RigError, dispatch, rollout, stores, streams, upgrade};
 
 /// Experiments with the real program among stand-in peers, on loopback. The last line of each is figures, as
 /// key=value; it ends non-zero where its proof fails.
@@ -93,6 +93,21 @@
         #[arg(long)]
         alone: bool,
     },
+    /// Changes of a policy that processes share, with faults between them
+    Rollout {
+        /// Processes
+        #[arg(long, default_value_t = 9)]
+        dispatchers: usize,
+        /// How long changes with faults go on
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Decides faults and jobs
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Each process has its own file read by itself, as without agreement
+        #[arg(long)]
+        alone: bool,
+    },
     /// The ledger's load on embedded engines and on a plain log
     Stores {
         /// Jobs, of three records each
@@ -170,6 +185,18 @@
             }
             Ok(figures.line())
         }
+        Experiment::Rollout { dispatchers, seconds, seed, alone } => {
+            if dispatchers < 3 {
+                return Err(RigError::Disproved("3 dispatchers are needed at least".into()));
+            }
+            let plan = rollout::Plan { dispatchers, seconds, seed, agreed: !alone };
+            let figures = rollout::experiment(&plan)?;
+            if let Err(e) = figures.proves() {
+                println!("{}", figures.line());
+                return Err(e);
+            }
+            Ok(figures.line())
+        }
         Experiment::Ladder { mb, pipes } => ladder(mb, pipes),
         Experiment::Stores { jobs } => stores::experiment(jobs),
         Experiment::Dispatch { count, kb_s, least_kb_s } => {
--- /dev/null
+++ b/rig/src/rollout.rs
@@ -0,0 +1,701 @@
+//! Changes of a policy that real processes share, with faults between them: workers in blocks that log what they start,
+//! clients at each process, and operators who want a new version every second. What is judged is what clients and workers
+//! saw: nothing runs under a version that was not decided, or under an old one after a new one was seen anywhere.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::datagrams::Datagrams;
+use crate::http::{Http, header, held, serve, status, told};
+use crate::process::Process;
+use crate::{RigError, proved, tried};
+
+/// How long a client waits for its answer.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Blocks of workers: version v sends all to block v modulo so many.
+const BLOCKS: u64 = 4;
+/// The block that the first process has not heard of: it says no to each version that names it.
+const UNHEARD: u64 = 3;
+/// Workers of a block.
+const WORKERS: usize = 2;
+/// A job takes so long, in milliseconds.
+const RUNS: u64 = 20;
+/// How long a process serves without news, in milliseconds.
+const LEASE: u64 = 2000;
+/// How long the fleet has to come up, or to come back.
+const JOINS: Duration = Duration::from_secs(20);
+
+/// What goes wrong while a change is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    LeaderKilled,
+    LeaderFrozen,
+    Killed(usize),
+    Frozen(usize),
+    Alone(usize),
+    Split,
+    Lossy,
+    AllKilled,
+}
+
+/// What a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Processes.
+    pub dispatchers: usize,
+    /// How long changes go on.
+    pub seconds: u64,
+    /// Decides faults and jobs.
+    pub seed: u64,
+    /// Whether they share the policy by decision; without, each has it read by itself, as a fleet without agreement does.
+    pub agreed: bool,
+}
+
+/// What clients and workers saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Faults played.
+    pub faults: u64,
+    /// Versions wanted.
+    pub changes: u64,
+    /// Of them in force.
+    pub committed: u64,
+    /// Of them given up.
+    pub given_up: u64,
+    /// Jobs that ran under a version that was not decided.
+    pub half_applied: u64,
+    /// Jobs that ran under an older version than one that had been seen before they were sent.
+    pub old_after_new: u64,
+    /// Jobs whose dispatches went to servers of two versions.
+    pub mixed: u64,
+    /// Versions that came in force after they were given up, or the other way round.
+    pub undone: u64,
+    /// Jobs.
+    pub jobs: u64,
+    /// Jobs served.
+    pub served: u64,
+    /// Jobs denied with a time to come back.
+    pub denied: u64,
+    /// Jobs without an answer at a process that was killed or frozen.
+    pub away: u64,
+    /// Connections on which more came than the one answer.
+    pub answered_twice: u64,
+    /// Jobs without an answer that no kill or freeze explains.
+    pub unanswered: u64,
+    /// Jobs that may not run twice and did.
+    pub unsafe_ran_twice: u64,
+    /// From the signal to the last process that runs a version, without faults, in milliseconds: median and worst.
+    pub change_ms_p50: u64,
+    /// The worst.
+    pub change_ms_worst: u64,
+    /// What jobs took beyond their own time while versions changed without faults, 99 of 100.
+    pub pause_ms_p99: u64,
+    /// The same in calm time.
+    pub calm_ms_p99: u64,
+}
+
+impl Figures {
+    /// The last line of the experiment.
+    pub fn line(&self) -> String {
+        format!(
+            "faults={} changes={} committed={} given_up={} half_applied={} old_after_new={} mixed={} undone={} jobs={} \
+             served={} served_share={:.3} denied={} away={} answered_twice={} unanswered={} unsafe_ran_twice={} \
+             change_ms_p50={} change_ms_worst={} pause_ms_p99={} calm_ms_p99={}",
+            self.faults,
+            self.changes,
+            self.committed,
+            self.given_up,
+            self.half_applied,
+            self.old_after_new,
+            self.mixed,
+            self.undone,
+            self.jobs,
+            self.served,
+            self.served as f64 / (self.jobs - self.away).max(1) as f64,
+            self.denied,
+            self.away,
+            self.answered_twice,
+            self.unanswered,
+            self.unsafe_ran_twice,
+            self.change_ms_p50,
+            self.change_ms_worst,
+            self.pause_ms_p99,
+            self.calm_ms_p99,
+        )
+    }
+
+    /// Whether the proof holds.
+    pub fn proves(&self) -> Result<(), RigError> {
+        let zeros = [
+            ("half_applied", self.half_applied),
+            ("old_after_new", self.old_after_new),
+            ("mixed", self.mixed),
+            ("undone", self.undone),
+            ("answered_twice", self.answered_twice),
+            ("unanswered", self.unanswered),
+            ("unsafe_ran_twice", self.unsafe_ran_twice),
+        ];
+        proved(&zeros, self.jobs, self.served)
+    }
+}
+
+/// A job that was served.
+#[derive(Clone, Copy, Debug)]
+struct Served {
+    sent: Instant,
+    done: Instant,
+    block: u64,
+}
+
+/// A decision as a process logged it.
+#[derive(Clone, Debug)]
+struct Decided {
+    process: usize,
+    at: Instant,
+    in_force: u64,
+    given_up: Option<u64>,
+}
+
+struct World {
+    plan: Plan,
+    clients: Vec<SocketAddr>,
+    over: AtomicBool,
+    next: AtomicU64,
+    /// Blocks at which each job ran, in order.
+    runs: Mutex<HashMap<String, Vec<u64>>>,
+    served: Mutex<Vec<Served>>,
+    decided: Mutex<Vec<Decided>>,
+    /// Times of a process that a run explains by a fault.
+    away: Mutex<Vec<(usize, Instant, Option<Instant>)>>,
+    figures: Mutex<Figures>,
+}
+
+impl World {
+    fn was_away(&self, process: usize, from: Instant) -> bool {
+        let slack = Duration::from_secs(1);
+        let at = |(who, _, until): &(usize, Instant, Option<Instant>)| {
+            *who == process && until.is_none_or(|back| back + slack >= from)
+        };
+        held(&self.away).iter().any(at)
+    }
+}
+
+/// A policy that sends all to one block.
+fn policy(version: u64) -> String {
+    format!(
+        "version = {version}\n[[partition]]\nname = \"block\"\nprefixes = [\"s-{}-\"]\n\
+         [[rule]]\nname = \"all\"\npartition = \"block\"\n",
+        version % BLOCKS
+    )
+}
+
+fn worker(world: &Arc<World>, block: u64, number: usize, stream: std::net::TcpStream) {
+    let Ok(mut http) = Http::over(stream, Duration::from_secs(120)) else { return };
+    while let Ok((head, _)) = http.read() {
+        let Some(id) = header(&head, "req-id").map(String::from) else {
+            let _ = http.write("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        };
+        held(&world.runs).entry(id.clone()).or_default().push(block);
+        if http.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").is_err() {
+            return;
+        }
+        let world = Arc::clone(world);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(RUNS));
+            let process = id.split('-').next().and_then(|p| p.parse().ok()).unwrap_or(0);
+            let (from, result) = (format!("s-{block}-{number}"), format!("{block} {id}"));
+            for _ in 0..10 {
+                if told(world.clients[process], Duration::from_secs(1), &id, &from, "done", &result) {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        });
+    }
+}
+
+fn client(world: &Arc<World>, process: usize, pause: Duration) {
+    let mut conn: Option<Http> = None;
+    while !world.over.load(Ordering::Relaxed) {
+        let sent = Instant::now();
+        let number = world.next.fetch_add(1, Ordering::Relaxed);
+        let class = if number.is_multiple_of(3) { "search" } else { "confirm" };
+        let id = format!("{process}-{number}");
+        let text = format!(
+            "POST /{class}/x HTTP/1.1\r\nHost: d\r\nReq-Id: {id}\r\nReq-Deadline: {}m\r\nContent-Length: 3\r\n\r\njob",
+            DEADLINE.as_millis()
+        );
+        let kept = conn.is_some();
+        let mut advised = false;
+        let got = conn
+            .take()
+            .map_or_else(|| Http::connect(world.clients[process], DEADLINE * 2), Ok)
+            .and_then(|mut http| {
+                if kept && !http.0.buffer().is_empty() {
+                    held(&world.figures).answered_twice += 1;
+                }
+                http.write(&text)?;
+                let (head, body) = http.read()?;
+                advised = header(&head, "retry-after").is_some();
+                let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+                conn = (!closes).then_some(http);
+                Ok((status(&head), body))
+            });
+        let (done, away) = (Instant::now(), world.was_away(process, sent));
+        let mut figures = held(&world.figures);
+        figures.jobs += 1;
+        match got {
+            Ok((200, body)) => {
+                let (block, of) = body.split_once(' ').unwrap_or(("", ""));
+                figures.answered_twice += u64::from(of != id);
+                figures.served += 1;
+                held(&world.served).push(Served { sent, done, block: block.parse().unwrap_or(u64::MAX) });
+            }
+            Ok(_) if advised => figures.denied += 1,
+            Ok(_) => {}
+            Err(_) if away => figures.away += 1,
+            Err(_) if kept && !held(&world.runs).contains_key(&id) => figures.jobs -= 1,
+            Err(e) => {
+                println!("{id}: no answer after {:?}: {e}", done - sent);
+                figures.unanswered += 1;
+            }
+        }
+        drop(figures);
+        thread::sleep(pause.saturating_sub(sent.elapsed()));
+    }
+}
+
+fn follow(world: &Arc<World>, process: &mut Process, number: usize) {
+    let world = Arc::clone(world);
+    process.read_log(move |line| {
+        let at = Instant::now();
+        if line.starts_with("micabeam:") && !line.contains("read again") && !line.contains("not taken") {
+            println!("process {number}: {line}");
+        }
+        if !line.contains("policy decided") {
+            return;
+        }
+        let of = |name: &str| line.split_once(&format!(" {name}="))?.1.split(' ').next();
+        let number_of = |name: &str| of(name).and_then(|text| text.trim_matches('"').parse::<u64>().ok());
+        let given_up = line.contains("outcome=\"given up\"").then(|| number_of("version")).flatten();
+        let in_force = number_of("in_force").unwrap_or(0);
+        held(&world.decided).push(Decided { process: number, at, in_force, given_up });
+    });
+}
+
+struct Stage {
+    world: Arc<World>,
+    layer: Datagrams,
+    processes: Vec<Option<Process>>,
+    binary: PathBuf,
+    dir: PathBuf,
+}
+
+impl Stage {
+    fn start(&mut self, number: usize) -> Result<(), RigError> {
+        let mut command = Command::new(&self.binary);
+        command.env("LB_CONFIG", self.dir.join(format!("{number}.json"))).env("TMPDIR", &self.dir);
+        command.arg("--operator").arg(self.dir.join(format!("{number}.toml")));
+        let mut process = Process::start(command)?;
+        follow(&self.world, &mut process, number);
+        self.processes[number] = Some(process);
+        self.back(number);
+        Ok(())
+    }
+
+    fn gone(&self, number: usize) {
+        held(&self.world.away).push((number, Instant::now(), None));
+    }
+
+    fn back(&self, number: usize) {
+        let now = Instant::now();
+        let mut away = held(&self.world.away);
+        away.iter_mut().filter(|a| a.0 == number && a.2.is_none()).for_each(|a| a.2 = Some(now));
+    }
+
+    fn leader(&self) -> usize {
+        let leads = |p: &Option<Process>| p.as_ref().is_some_and(|p| p.figure("lb_fleet_leads") == Some(1.0));
+        self.processes.iter().position(leads).unwrap_or(0)
+    }
+
+    /// Has a process's operator want a version.
+    fn want(&self, number: usize, version: u64) -> Result<(), RigError> {
+        let path = self.dir.join(format!("{number}.policy"));
+        tried("a policy", std::fs::write(path, policy(version)))?;
+        match &self.processes[number] {
+            Some(process) => process.signal("HUP"),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits until all run one version and serve; that version.
+    fn settled(&self) -> Result<u64, RigError> {
+        let end = Instant::now() + JOINS;
+        loop {
+            let standing: Vec<String> =
+                self.processes.iter().flatten().filter_map(|p| p.ask("policy")).collect();
+            let of = |text: &String, name: &str| {
+                text.split_once(name).and_then(|(_, rest)| rest.split(' ').next()?.parse::<u64>().ok())
+            };
+            let runs: BTreeSet<_> = standing.iter().map(|text| of(text, "runs ")).collect();
+            let same = runs.len() == 1 && standing.len() == self.processes.len();
+            let ready = |text: &String| text.contains("serves yes holds no") && text.contains("staged none");
+            if let (true, Some(Some(version))) = (same && standing.iter().all(ready), runs.first()) {
+                return Ok(*version);
+            }
+            if Instant::now() > end {
+                return Err(RigError::Disproved(format!("they do not come to one version: {standing:?}")));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn cut(&self, parted: impl Fn(usize, usize) -> bool) {
+        let count = self.world.plan.dispatchers;
+        let pairs = (0..count).flat_map(|a| (0..count).map(move |b| (a, b)));
+        self.layer.change(|w| w.cut.extend(pairs.filter(|(a, b)| a != b && parted(*a, *b))));
+    }
+
+    fn stopped(&mut self, number: usize, lasts: Duration) -> Result<(), RigError> {
+        self.gone(number);
+        if let Some(process) = &self.processes[number] {
+            process.signal("STOP")?;
+            thread::sleep(lasts);
+            process.signal("CONT")?;
+        }
+        self.back(number);
+        Ok(())
+    }
+
+    fn killed(&mut self, number: usize, lasts: Duration) -> Result<(), RigError> {
+        self.gone(number);
+        self.processes[number] = None;
+        thread::sleep(lasts);
+        self.start(number)
+    }
+
+    /// Plays a fault around the wish for a version: what is wanted comes at some time within it.
+    fn play(&mut self, fault: Fault, draws: &mut fastrand::Rng, version: &mut u64) -> Result<(), RigError> {
+        let count = self.world.plan.dispatchers;
+        let lasts = Duration::from_millis(draws.u64(50..3500));
+        let soon = Duration::from_millis(draws.u64(..120));
+        let at = draws.usize(..count);
+        *version += 1;
+        match fault {
+            Fault::None => self.want(at, *version)?,
+            Fault::LeaderKilled | Fault::Killed(_) => {
+                let victim = if let Fault::Killed(who) = fault { who } else { self.leader() };
+                self.want((victim + 1 + draws.usize(..count - 1)) % count, *version)?;
+                thread::sleep(soon);
+                self.killed(victim, lasts)?;
+            }
+            Fault::LeaderFrozen | Fault::Frozen(_) => {
+                let victim = if let Fault::Frozen(who) = fault { who } else { self.leader() };
+                self.want((victim + 1 + draws.usize(..count - 1)) % count, *version)?;
+                thread::sleep(soon);
+                self.stopped(victim, lasts)?;
+            }
+            Fault::Alone(who) => {
+                self.cut(|a, b| (a == who) != (b == who));
+                self.want(at, *version)?;
+                thread::sleep(lasts);
+                self.layer.change(|w| w.cut.clear());
+            }
+            Fault::Split => {
+                self.cut(|a, b| (a * 5 < count * 2) != (b * 5 < count * 2));
+                self.want(0, *version)?;
+                *version += 1;
+                self.want(count - 1, *version)?;
+                thread::sleep(lasts);
+                self.layer.change(|w| w.cut.clear());
+            }
+            Fault::Lossy => {
+                self.layer.change(|w| (w.lost, w.doubled, w.delay_ms) = (300, 50, 60));
+                self.want(at, *version)?;
+                thread::sleep(lasts);
+                self.layer.change(|w| (w.lost, w.doubled, w.delay_ms) = (0, 0, 1));
+            }
+            Fault::AllKilled => {
+                self.want(at, *version)?;
+                thread::sleep(soon);
+                for number in 0..count {
+                    self.gone(number);
+                    self.processes[number] = None;
+                }
+                for number in 0..count {
+                    self.start(number)?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn write_files(
+    world: &World,
+    dir: &Path,
+    hosts: &[(u64, String)],
+    addresses: &[SocketAddr],
+    layer: &Datagrams,
+    number: usize,
+) -> Result<(), RigError> {
+    let class = |name: &str, semantics: &str| {
+        format!(r#"{{"name":"{name}","aim":2000000,"hardLimit":4000000,"semantics":"{semantics}"}}"#)
+    };
+    let known: Vec<&str> = hosts
+        .iter()
+        .filter(|(block, _)| number > 0 || *block != UNHEARD)
+        .map(|(_, line)| line.as_str())
+        .collect();
+    let config = format!(
+        r#"{{"name":"n{number}","listen":"{}","console":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"{number:x}",
+        "limits":{{"sockets":512}},"known":{{"seq":1,"whole":true,"hosts":[{}]}},
+        "settings":{{"balancers":{},"myNumber":{number},"zones":["z"],"quantum":1000,"membershipMode":"push",
+        "grades":[{},{}],"caps":{{"sendCap":3,"mayCancel":true,"connIdle":15000000,"connectTimeout":250000,
+        "maxRetryAfter":1000000}},"familyInfo":{{"tellsStart":false}},"report":{{"how":"off","fields":[]}},
+        "rules":{{"coldFrom":0.1,"cold":20000000,"tipMultiple":2.5,"askWithin":4000000}}}}}}"#,
+        world.clients[number],
+        known.join(","),
+        world.plan.dispatchers,
+        class("search", "retryable"),
+        class("confirm", "fragile"),
+    );
+    tried("the configuration", std::fs::write(dir.join(format!("{number}.json")), config))?;
+    tried("a policy", std::fs::write(dir.join(format!("{number}.policy")), policy(1)))?;
+    let voters = if world.plan.dispatchers >= 5 { 5 } else { 3 };
+    let mut file = format!(
+        "[fleet]\ncluster = \"rig\"\nname = \"n{number}\"\nstate = \"{0}.votes\"\nzones = [\"z\"]\n\
+         [rollout]\npolicy = \"{0}.policy\"\nkeep = \"{0}.kept\"\nlease_ms = {LEASE}\n",
+        dir.join(number.to_string()).display(),
+    );
+    if !world.plan.agreed {
+        file += "agreed = false\n";
+    }
+    for member in 0..world.plan.dispatchers {
+        let address = if member == number { addresses[number] } else { layer.door(number, member) };
+        file += &format!(
+            "[[fleet.member]]\nname = \"n{member}\"\naddress = \"{address}\"\nzone = \"z\"\nvoter = {}\n",
+            member < voters
+        );
+    }
+    tried("the operator's file", std::fs::write(dir.join(format!("{number}.toml")), file))
+}
+
+/// Plays a plan with the real program.
+pub fn experiment(plan: &Plan) -> Result<Figures, RigError> {
+    let binary = crate::program::build()?;
+    let dir = std::env::temp_dir().join(format!("micabeam-rollout-{}-{}", std::process::id(), plan.seed));
+    tried("the files", std::fs::create_dir_all(&dir))?;
+    let result = played(plan, binary, &dir);
+    let _ = std::fs::remove_dir_all(&dir);
+    result
+}
+
+fn played(plan: &Plan, binary: PathBuf, dir: &Path) -> Result<Figures, RigError> {
+    let local = |l: &TcpListener| tried("a stand-in", l.local_addr());
+    // On a host address of this run's own, lest others take what is free meanwhile.
+    let pid = std::process::id();
+    let own = SocketAddr::from(([127, 100 + (pid >> 8) as u8 % 100, pid as u8, plan.seed as u8], 0));
+    let each = 0..plan.dispatchers;
+    let free: Vec<TcpListener> =
+        each.clone().map(|_| tried("a stand-in", TcpListener::bind(own))).collect::<Result<_, _>>()?;
+    let clients = free.iter().map(local).collect::<Result<_, _>>()?;
+    let udp: Vec<UdpSocket> =
+        each.map(|_| tried("a stand-in", UdpSocket::bind(own))).collect::<Result<_, _>>()?;
+    let addresses: Vec<SocketAddr> =
+        udp.iter().map(|s| tried("a stand-in", s.local_addr())).collect::<Result<_, _>>()?;
+    let layer = Datagrams::start(&addresses, plan.seed)?;
+    layer.change(|w| w.delay_ms = 1);
+    drop((free, udp));
+    let world = Arc::new(World {
+        plan: *plan,
+        clients,
+        over: AtomicBool::new(false),
+        next: AtomicU64::new(0),
+        runs: Mutex::default(),
+        served: Mutex::default(),
+        decided: Mutex::default(),
+        away: Mutex::default(),
+        figures: Mutex::default(),
+    });
+    let mut hosts = Vec::new();
+    for block in 0..BLOCKS {
+        for number in 0..WORKERS {
+            let door = tried("a stand-in", TcpListener::bind("127.0.0.1:0"))?;
+            let dial = local(&door)?;
+            hosts.push((
+                block,
+                format!(
+                    r#"{{"host":"s-{block}-{number}","dial":"{dial}","site":"z","health":"up","share":1.0,"born_ms":0}}"#
+                ),
+            ));
+            let (at, over) = (Arc::clone(&world), Arc::clone(&world));
+            serve(
+                door,
+                move || over.over.load(Ordering::Relaxed),
+                move |stream| worker(&at, block, number, stream),
+            );
+        }
+    }
+    for number in 0..plan.dispatchers {
+        write_files(&world, dir, &hosts, &addresses, &layer, number)?;
+    }
+    let processes = (0..plan.dispatchers).map(|_| None).collect();
+    let mut stage = Stage { world: Arc::clone(&world), layer, processes, binary, dir: dir.to_path_buf() };
+    for number in 0..plan.dispatchers {
+        stage.start(number)?;
+    }
+    let mut version = stage.settled()?;
+    let mut threads = Vec::new();
+    for process in 0..plan.dispatchers {
+        for _ in 0..3 {
+            let world = Arc::clone(&world);
+            threads.push(thread::spawn(move || client(&world, process, Duration::from_millis(100))));
+        }
+    }
+    let result = changes(plan, &mut stage, &mut version);
+    world.over.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().map_err(|_| RigError::Disproved("a client panicked".into()))?;
+    }
+    drop(stage);
+    let times = result?;
+    let mut figures = *held(&world.figures);
+    (figures.faults, figures.changes) = (times.faults, times.wanted);
+    check(&world, &times, &mut figures);
+    Ok(figures)
+}
+
+/// When what was done.
+struct Times {
+    faults: u64,
+    wanted: u64,
+    calm: (Instant, Instant),
+    /// Without faults: from when to when versions were changed.
+    plain: (Instant, Instant),
+    /// Each of these changes: its version, and when it was wanted.
+    changes: Vec<(u64, Instant)>,
+}
+
+fn changes(plan: &Plan, stage: &mut Stage, version: &mut u64) -> Result<Times, RigError> {
+    thread::sleep(Duration::from_millis(500));
+    let calm = Instant::now();
+    thread::sleep(Duration::from_secs(2));
+    let plain = Instant::now();
+    let mut list = Vec::new();
+    for turn in 0..6 {
+        *version += if (*version + 1) % BLOCKS == UNHEARD { 2 } else { 1 };
+        list.push((*version, Instant::now()));
+        stage.want(turn % plan.dispatchers, *version)?;
+        let now = stage.settled()?;
+        if plan.agreed && now != *version {
+            return Err(RigError::Disproved(format!("version {version} was wanted, and {now} runs")));
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    let (plain, start) = ((plain, Instant::now()), Instant::now());
+    let calm = (calm, plain.0);
+    let mut draws = fastrand::Rng::with_seed(plan.seed);
+    let (mut kinds, mut faults, first) = (Vec::new(), 0, *version);
+    while start.elapsed() < Duration::from_secs(plan.seconds) {
+        if kinds.is_empty() {
+            kinds = (0..9).collect();
+            draws.shuffle(&mut kinds);
+        }
+        let who = draws.usize(..plan.dispatchers);
+        let fault = match kinds.pop().unwrap_or(0) {
+            0 => Fault::LeaderKilled,
+            1 => Fault::LeaderFrozen,
+            2 => Fault::Killed(who),
+            3 => Fault::Frozen(who),
+            4 => Fault::Alone(who),
+            5 => Fault::Split,
+            6 => Fault::Lossy,
+            7 => Fault::AllKilled,
+            _ => Fault::None,
+        };
+        println!("{:6} ms {fault:?} at version {}", start.elapsed().as_millis(), *version + 1);
+        faults += u64::from(fault != Fault::None);
+        stage.play(fault, &mut draws, version)?;
+        let now = stage.settled()?;
+        println!("{:6} ms all run {now}", start.elapsed().as_millis());
+        *version = (*version).max(now);
+    }
+    let wanted = list.len() as u64 + *version - first;
+    Ok(Times { faults, wanted, calm, plain, changes: list })
+}
+
+fn p99(mut list: Vec<u64>) -> u64 {
+    list.sort_unstable();
+    list.get((list.len() * 99 / 100).min(list.len().saturating_sub(1))).copied().unwrap_or(0)
+}
+
+/// Sets what clients saw beside what the processes' logs say was decided.
+fn check(world: &World, times: &Times, figures: &mut Figures) {
+    let runs = held(&world.runs);
+    for (id, blocks) in runs.iter() {
+        let number = id.split('-').nth(1).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
+        figures.unsafe_ran_twice += u64::from(blocks.len() > 1 && !number.is_multiple_of(3));
+        figures.mixed += u64::from(blocks.iter().any(|block| block != &blocks[0]));
+    }
+    let decided = held(&world.decided);
+    let mut in_force: BTreeSet<u64> = decided.iter().map(|d| d.in_force).filter(|v| *v > 0).collect();
+    let given_up: BTreeSet<u64> = decided.iter().filter_map(|d| d.given_up).collect();
+    figures.committed = in_force.len() as u64;
+    figures.given_up = given_up.len() as u64;
+    figures.undone = in_force.intersection(&given_up).count() as u64;
+    if !world.plan.agreed {
+        // Each takes what its own operator wants: that is what is in force there.
+        in_force = (1..=figures.changes + 1).collect();
+    }
+    // What a client has seen bounds what anything sent later may run under.
+    let mut events: Vec<(Instant, bool, usize)> = Vec::new();
+    let served = held(&world.served);
+    for (at, job) in served.iter().enumerate() {
+        events.push((job.sent, false, at));
+        events.push((job.done, true, at));
+    }
+    events.sort_unstable();
+    let (mut seen, mut floors) = (0, BTreeMap::new());
+    for (_, done, at) in events {
+        if !done {
+            floors.insert(at, seen);
+            continue;
+        }
+        let floor = floors.remove(&at).unwrap_or(0);
+        let of_block = |version: &&u64| **version % BLOCKS == served[at].block;
+        match in_force.range(floor..).find(of_block) {
+            Some(version) => seen = seen.max(*version),
+            None if in_force.iter().any(|version| of_block(&version)) => {
+                println!("a job ran at block {} after version {floor} was seen", served[at].block);
+                figures.old_after_new += 1;
+            }
+            None => figures.half_applied += 1,
+        }
+    }
+    let took = |from: Instant, to: Instant| -> Vec<u64> {
+        let within = served.iter().filter(|job| job.sent >= from && job.done <= to);
+        within.map(|job| (job.done - job.sent).as_millis() as u64).map(|ms| ms.saturating_sub(RUNS)).collect()
+    };
+    figures.calm_ms_p99 = p99(took(times.calm.0, times.calm.1));
+    figures.pause_ms_p99 = p99(took(times.plain.0, times.plain.1));
+    let mut spans: Vec<u64> = Vec::new();
+    for (version, wanted) in &times.changes {
+        let reads = (0..world.plan.dispatchers).filter_map(|process| {
+            let read = decided.iter().find(|d| d.process == process && d.in_force == *version)?;
+            Some(read.at.saturating_duration_since(*wanted).as_millis() as u64)
+        });
+        spans.extend(reads.max());
+    }
+    spans.sort_unstable();
+    figures.change_ms_p50 = spans.get(spans.len() / 2).copied().unwrap_or(0);
+    figures.change_ms_worst = spans.last().copied().unwrap_or(0);
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -459,6 +459,12 @@
         (self.mark, self.marked)
     }
 
+    /// When this node, as the leader, last counted a round in which a majority followed it; none where the newest mark is
+    /// another leader's.
+    pub fn confirmed(&self) -> Option<f64> {
+        (self.leads() && self.mark.leader() == self.seat).then_some(self.marked)
+    }
+
     /// The voter that leads, as a member, as far as is known here: the one that a majority was last known to follow. A
     /// voter that was away may not know that by its own log for long.
     pub fn leader(&self) -> Option<Member> {
--- a/src/rollout/lead.rs
+++ b/src/rollout/lead.rs
@@ -93,8 +93,9 @@
         // those that hold. The same for what a leader before this one may have proposed and the log still has.
         self.settled |= node.settled();
         let undecided = matches!(self.phase, Phase::Deciding { hold: Some(_) }) && !holds;
-        let (_, marked) = node.mark();
-        let left = self.rules.lease - (now - (marked - BACK));
+        // A leader that another has followed, and that hears of it, must not give leases on the other's strength.
+        let Some(confirmed) = node.confirmed() else { return };
+        let left = self.rules.lease - (now - (confirmed - BACK));
         if left < 1.0 || undecided || !self.settled {
             return;
         }
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -425,6 +425,12 @@
     faults(141_697);
 }
 
+/// Found by a seed: a leader that had been replaced, and heard of it, gave leases as if the majority followed it.
+#[test]
+fn a_leader_that_was_replaced_gives_no_leases() {
+    faults(774_560);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
 
