--- a/benches/ingest.rs
+++ b/benches/ingest.rs
@@ -1,7 +1,7 @@
 //! What a look at the policy costs a request: 200 rules, of which the last fits.
+#![allow(missing_docs, reason = "the macros of criterion make functions without any")]
 
 use std::fmt::Write;
-#![allow(missing_docs, reason = "the macros of criterion make functions without any")]
 use std::hint::black_box;
 
 use criterion::{Criterion, criterion_group, criterion_main};
