Pools know what others have spent on cold servers; stories of pools and of a lost majority

Cause: each change of policy made new pools whose modules had the budget of the whole's module, which sends nothing: forty changes sent 16 requests to a server that had just started. Change: a new pool takes the least budget of all modules; what a pool learned and spent goes on in the whole's when it is dropped (Core::repool). Result: tests/core.rs, 4 at most; a process that lost the majority serves its lease out, denies with a time to come back, and serves again.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -217,15 +217,24 @@
         }
     }
 
-    /// A pool of these servers: the one that there is, or a new one that knows what the whole's module has learned.
-    /// The caller has said which others are still wanted.
-    pub fn pool(&mut self, selector: &Selector) -> PoolId {
+    /// Pools of these servers, in order, and no others from now on: those there are and are not among them end with
+    /// their last requests.
+    pub fn repool<'a>(&mut self, selectors: impl IntoIterator<Item = &'a Selector>) -> Vec<PoolId> {
+        self.pools.values_mut().for_each(|pool| pool.wanted = false);
+        let ids = selectors.into_iter().map(|selector| self.pool(selector)).collect();
+        self.drop_pools();
+        ids
+    }
+
+    /// A pool of these servers: the one that there is, or a new one that knows what the other modules have learned.
+    fn pool(&mut self, selector: &Selector) -> PoolId {
         if let Some((id, pool)) = self.pools.iter_mut().find(|(_, pool)| pool.selector == *selector) {
             pool.wanted = true;
             return *id;
         }
         self.last_pool += 1;
         let (id, settings) = (self.last_pool, self.site.settings.clone());
+        let known: Vec<Learned> = self.pools.values().map(|pool| pool.module.learned()).collect();
         let pool = Pool::new(selector.clone(), settings, self.seed ^ u64::from(id) << 32);
         self.pools.insert(id, pool);
         let mut members: Vec<Member> = self.table.listed().iter().map(|s| s.line.member).collect();
@@ -234,17 +243,20 @@
         }
         let own = self.pools[&id].own(&self.table, &members);
         stages::route::drive_in(self, id, Event::List(&own));
+        // The whole's first; of those that have sent to the same servers the least budget counts.
         let (now, learned) = (micros(self.clock.now()), self.module.learned());
         if let Some(pool) = self.pools.get_mut(&id) {
-            pool.recall(now, learned);
+            [learned].into_iter().chain(known).for_each(|learned| pool.recall(now, learned));
         }
         id
     }
 
-    /// No pool is wanted any more but those that are asked for from now on; those with requests end with them.
-    pub fn forget_pools(&mut self) {
-        self.pools.values_mut().for_each(|pool| pool.wanted = false);
-        self.pools.retain(|_, pool| pool.open > 0);
+    /// Drops pools that nothing leads to any more. What they have learned and spent goes on in the module of the whole.
+    fn drop_pools(&mut self) {
+        let now = micros(self.clock.now());
+        for (_, pool) in self.pools.extract_if(|_, pool| !pool.wanted && pool.open == 0) {
+            self.module.recall(now, pool.module.learned());
+        }
     }
 
     /// Pools that there are.
--- a/src/core/stages/book.rs
+++ b/src/core/stages/book.rs
@@ -40,6 +40,6 @@
         }
     }
     if gone {
-        core.pools.retain(|_, pool| pool.wanted || pool.open > 0);
+        core.drop_pools();
     }
 }
--- a/src/front/platform/gate.rs
+++ b/src/front/platform/gate.rs
@@ -106,8 +106,7 @@
                 return;
             }
         };
-        self.core.forget_pools();
-        let pools = policy.partitions.iter().map(|(_, _, selector)| self.core.pool(selector)).collect();
+        let pools = self.core.repool(policy.partitions.iter().map(|(_, _, selector)| selector));
         if let Some(gate) = &mut self.gate {
             (gate.policy, gate.pools) = (Some(policy), pools);
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,7 +4,7 @@
 mod net;
 
 use micabeam::api::{Member, Outcome, Report};
-use micabeam::core::{Clock, Command, Core, Line, Request, SessionId, Verdict};
+use micabeam::core::{Clock, Command, Core, Line, PoolId, Request, Selector, SessionId, Verdict};
 use micabeam::settings::Site;
 
 const START: f64 = 1_700_000_000_000.0;
@@ -188,3 +188,110 @@
     assert_eq!((gauges.pending, gauges.members), (0, 2));
     assert!(gauges.members_unavailable <= 1, "only the server that failed may be avoided: {gauges:?}");
 }
+
+fn prefix(head: &str) -> Selector {
+    Selector { prefixes: Some(vec![head.into()]), ..Selector::default() }
+}
+
+/// The servers that so many requests kept to a pool go to.
+fn servers_of(core: &mut Core, pool: PoolId, count: usize) -> Vec<String> {
+    let mut names = Vec::new();
+    for _ in 0..count {
+        let id = core.request(Request { pool, ..request(1, 4000.0) }).unwrap();
+        for command in commands(core) {
+            if let Command::Send { server, .. } = command {
+                names.push(core.table().get(server).unwrap().line.name.clone());
+                core.ended(id, 0, Outcome::Served, Report::default(), Vec::new());
+            }
+        }
+        commands(core);
+    }
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+/// A request goes to the servers of its pool alone, also after the list has changed, and what it is denied or given up for
+/// is decided there.
+#[test]
+fn a_request_is_kept_to_its_pool() {
+    let (mut core, clock) = core(100, &["a-1", "a-2", "b-1"]);
+    let [a, b, none] = core.repool(&[prefix("a-"), prefix("b-"), prefix("c-")])[..] else { panic!() };
+    assert_eq!(
+        core.repool(&[prefix("b-"), prefix("a-"), prefix("c-")]),
+        [b, a, none],
+        "the same are the same"
+    );
+    assert_eq!(servers_of(&mut core, a, 8), ["a-1", "a-2"]);
+    assert_eq!(servers_of(&mut core, b, 8), ["b-1"]);
+    let line = |name: &str| Line {
+        name: name.into(),
+        address: String::new(),
+        member: Member { size: 1.0, ..Member::default() },
+    };
+    core.listed(vec![line("b-1"), line("b-2"), line("a-1")], true);
+    assert_eq!(servers_of(&mut core, a, 8), ["a-1"], "a server that left the list");
+    assert_eq!(servers_of(&mut core, b, 8), ["b-1", "b-2"], "and one that came");
+    assert!(core.has(&prefix("b-")) && !core.has(&prefix("c-")));
+    // A pool that has no server gives a request up in time, as the whole would.
+    let id = core.request(Request { pool: none, ..request(1, clock.now() - START + 400.0) }).unwrap();
+    let end = clock.now() + 400.0;
+    let mut answered = Vec::new();
+    while answered.is_empty() && clock.now() <= end {
+        clock.set(core.wake_at().unwrap_or(end).max(clock.now() + 1.0));
+        core.tick();
+        answered = answers(&commands(&mut core));
+    }
+    assert_eq!(answered.first().map(|(session, _)| *session), Some(id));
+}
+
+/// A pool that no policy leads to any more ends with its last request: that one still goes where it was to go.
+#[test]
+fn what_was_taken_under_an_old_policy_ends_in_its_own_pool() {
+    let (mut core, _) = core(100, &["a-1", "b-1"]);
+    let a = core.repool(&[prefix("a-")])[0];
+    let id = core.request(Request { pool: a, ..request(0, 4000.0) }).unwrap();
+    commands(&mut core);
+    let b = core.repool(&[prefix("b-")])[0];
+    assert_eq!(core.pools(), 2);
+    // Its first dispatch never ran: the next one goes to the same pool, which has no other server, and not to the new one.
+    core.ended(id, 0, Outcome::Full, Report::default(), Vec::new());
+    let sent: Vec<String> = commands(&mut core)
+        .iter()
+        .filter_map(|command| match command {
+            Command::Send { server, .. } => Some(core.table().get(*server).unwrap().line.name.clone()),
+            _ => None,
+        })
+        .collect();
+    assert!(sent.iter().all(|name| name == "a-1"), "{sent:?}");
+    core.client_left(id);
+    assert_eq!(core.pools(), 1, "gone with its last request");
+    assert_eq!(servers_of(&mut core, b, 3), ["b-1"]);
+}
+
+/// A change of policy makes new pools: a cold server gets no budget for each.
+#[test]
+fn a_cold_server_has_one_budget_over_changes_of_policy() {
+    let clock = Clock::manual(START);
+    let site = Site::parse(net::SETTINGS.as_bytes()).unwrap();
+    let mut core = Core::new(site, 1, clock.clone(), 1000);
+    let born = (START * 1e3) as u64;
+    let line = |name: &str, born| Line {
+        name: name.into(),
+        address: String::new(),
+        member: Member { size: 1.0, born, ..Member::default() },
+    };
+    core.listed(vec![line("a-cold", born), line("b-warm", 0)], true);
+    let mut sent = 0;
+    for change in 0..40 {
+        // Each time another selector of the same server, so that each is a new pool.
+        let heads = vec!["a-".to_string(), format!("x{change}")];
+        let pool = core.repool(&[Selector { prefixes: Some(heads), ..Selector::default() }])[0];
+        for _ in 0..2 {
+            let _ = core.request(Request { pool, ..request(1, 4000.0) });
+            sent += commands(&mut core).iter().filter(|c| matches!(c, Command::Send { .. })).count();
+        }
+    }
+    // Alone in its part it may be sent a budget's worth at once, and not forty of them.
+    assert!(sent <= 4, "{sent} requests to a server that has just started");
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -157,6 +157,34 @@
     assert!(client.read().0.starts_with("HTTP/1.1 200"));
 }
 
+/// What a majority's loss costs: the one that is left serves until its lease is over, and then says when to come back.
+#[test]
+fn without_a_majority_a_process_serves_its_lease_out_and_denies_then() {
+    let fleet = Fleet::new();
+    (0..3).for_each(|own| fleet.want(own, &policy(1, "s-1")));
+    let mut started: Vec<_> = (0..3).map(|own| fleet.start(own, 2)).collect();
+    let (address, console) = (started[0].1, started[0].2);
+    until("in force", || {
+        standing(console).contains("runs 1 decided 1 staged none wanted none epoch 2 serves yes")
+    });
+    drop(started.drain(1..));
+    let killed = Instant::now();
+    served(&fleet, address, "c-1", 0);
+    until("its lease is over", || standing(console).contains("serves no"));
+    let served_for = killed.elapsed().as_millis();
+    assert!((1000..=2600).contains(&served_for), "it served for {served_for} ms of its lease of 2000");
+    let mut client = Http::connect(address);
+    client.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(client.read().0.starts_with("HTTP/1.1 503"), "clients are to go elsewhere");
+    client.submit("confirm-booking", "c-2");
+    let (head, _) = client.read();
+    assert!(head.starts_with("HTTP/1.1 503") && value(&head, "retry-after").is_some(), "{head}");
+    // Back with the others, it serves again, without a word from its operator.
+    started.push(fleet.start(1, 2));
+    until("it serves again", || standing(console).contains("serves yes"));
+    served(&fleet, address, "c-3", 0);
+}
+
 /// A policy that does not read ends the start with its line; [rollout] without [fleet] is refused.
 #[test]
 fn a_policy_that_does_not_read_ends_the_start() {
