A held request is denied while its client still listens; [rollout] needs the platform's front

Change: a wait ends at four fifths of the request's own time, 2 s at most; such a process refuses to start; /up follows the lease alone.

--- a/rig/src/datagrams.rs
+++ b/rig/src/datagrams.rs
@@ -2,7 +2,7 @@
 //! delayed, lost, doubled, put out of order or cut, by seed.
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -18,6 +18,33 @@
 /// Datagrams that may be under way at once.
 const UNDER_WAY: usize = 100_000;
 
+/// Addresses for processes: where clients find them, and where the others do.
+pub struct Addresses {
+    /// For clients.
+    pub clients: Vec<SocketAddr>,
+    /// For datagrams.
+    pub datagrams: Vec<SocketAddr>,
+}
+
+impl Addresses {
+    /// Some that were free a moment ago, for the processes to take: on a host address of this run's own, lest others
+    /// take them meanwhile.
+    pub fn free(count: usize, seed: u64) -> Result<Addresses, RigError> {
+        let pid = std::process::id();
+        let own = SocketAddr::from(([127, 100 + (pid >> 8) as u8 % 100, pid as u8, seed as u8], 0));
+        let doors = (0..count).map(|_| tried("a stand-in", TcpListener::bind(own)));
+        let doors: Vec<TcpListener> = doors.collect::<Result<_, _>>()?;
+        let sockets = (0..count).map(|_| tried("a stand-in", UdpSocket::bind(own)));
+        let sockets: Vec<UdpSocket> = sockets.collect::<Result<_, _>>()?;
+        let clients = doors.iter().map(|door| tried("a stand-in", door.local_addr()));
+        let datagrams = sockets.iter().map(|socket| tried("a stand-in", socket.local_addr()));
+        Ok(Addresses {
+            clients: clients.collect::<Result<_, _>>()?,
+            datagrams: datagrams.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
 /// What goes wrong between the processes.
 #[derive(Clone, Debug, Default)]
 pub struct Weather {
--- a/rig/src/http.rs
+++ b/rig/src/http.rs
@@ -105,3 +105,35 @@
     });
     answer.is_ok_and(|(head, _)| matches!(status(&head), 200 | 204))
 }
+
+/// What came of a job that a client handed in.
+pub struct Got {
+    /// The answer's status and body, or why there was none.
+    pub answer: std::io::Result<(u16, String)>,
+    /// A time to come back was named.
+    pub advised: bool,
+    /// It went over a connection that was kept.
+    pub kept: bool,
+    /// More than the one answer had come on that before.
+    pub more: bool,
+}
+
+/// Hands a job in over a kept connection, or a new one, and waits for its answer.
+pub fn hand_in(conn: &mut Option<Http>, to: SocketAddr, deadline: Duration, class: &str, id: &str) -> Got {
+    let text = format!(
+        "POST /{class}/x HTTP/1.1\r\nHost: d\r\nReq-Id: {id}\r\nReq-Deadline: {}m\r\nContent-Length: 3\r\n\r\njob",
+        deadline.as_millis()
+    );
+    let kept = conn.is_some();
+    let (mut advised, mut more) = (false, false);
+    let answer = conn.take().map_or_else(|| Http::connect(to, deadline * 2), Ok).and_then(|mut http| {
+        more = kept && !http.0.buffer().is_empty();
+        http.write(&text)?;
+        let (head, body) = http.read()?;
+        advised = header(&head, "retry-after").is_some();
+        let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+        *conn = (!closes).then_some(http);
+        Ok((status(&head), body))
+    });
+    Got { answer, advised, kept, more }
+}
--- a/rig/src/rollout.rs
+++ b/rig/src/rollout.rs
@@ -3,7 +3,7 @@
 //! saw: nothing runs under a version that was not decided, or under an old one after a new one was seen anywhere.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::datagrams::Datagrams;
-use crate::http::{Http, header, held, serve, status, told};
+use crate::datagrams::{Addresses, Datagrams};
+use crate::http::{Got, Http, hand_in, header, held, serve, told};
 use crate::process::Process;
 use crate::{RigError, proved, tried};
 
@@ -229,30 +229,13 @@
         let number = world.next.fetch_add(1, Ordering::Relaxed);
         let class = if number.is_multiple_of(3) { "search" } else { "confirm" };
         let id = format!("{process}-{number}");
-        let text = format!(
-            "POST /{class}/x HTTP/1.1\r\nHost: d\r\nReq-Id: {id}\r\nReq-Deadline: {}m\r\nContent-Length: 3\r\n\r\njob",
-            DEADLINE.as_millis()
-        );
-        let kept = conn.is_some();
-        let mut advised = false;
-        let got = conn
-            .take()
-            .map_or_else(|| Http::connect(world.clients[process], DEADLINE * 2), Ok)
-            .and_then(|mut http| {
-                if kept && !http.0.buffer().is_empty() {
-                    held(&world.figures).answered_twice += 1;
-                }
-                http.write(&text)?;
-                let (head, body) = http.read()?;
-                advised = header(&head, "retry-after").is_some();
-                let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
-                conn = (!closes).then_some(http);
-                Ok((status(&head), body))
-            });
+        let Got { answer, advised, kept, more } =
+            hand_in(&mut conn, world.clients[process], DEADLINE, class, &id);
         let (done, away) = (Instant::now(), world.was_away(process, sent));
         let mut figures = held(&world.figures);
         figures.jobs += 1;
-        match got {
+        figures.answered_twice += u64::from(more);
+        match answer {
             Ok((200, body)) => {
                 let (block, of) = body.split_once(' ').unwrap_or(("", ""));
                 figures.answered_twice += u64::from(of != id);
@@ -268,6 +251,10 @@
                 figures.unanswered += 1;
             }
         }
+        if done - sent > DEADLINE + Duration::from_millis(500) && !away {
+            println!("{id}: answered after {:?}", done - sent);
+            figures.unanswered += 1;
+        }
         drop(figures);
         thread::sleep(pause.saturating_sub(sent.elapsed()));
     }
@@ -513,20 +500,9 @@
 
 fn played(plan: &Plan, binary: PathBuf, dir: &Path) -> Result<Figures, RigError> {
     let local = |l: &TcpListener| tried("a stand-in", l.local_addr());
-    // On a host address of this run's own, lest others take what is free meanwhile.
-    let pid = std::process::id();
-    let own = SocketAddr::from(([127, 100 + (pid >> 8) as u8 % 100, pid as u8, plan.seed as u8], 0));
-    let each = 0..plan.dispatchers;
-    let free: Vec<TcpListener> =
-        each.clone().map(|_| tried("a stand-in", TcpListener::bind(own))).collect::<Result<_, _>>()?;
-    let clients = free.iter().map(local).collect::<Result<_, _>>()?;
-    let udp: Vec<UdpSocket> =
-        each.map(|_| tried("a stand-in", UdpSocket::bind(own))).collect::<Result<_, _>>()?;
-    let addresses: Vec<SocketAddr> =
-        udp.iter().map(|s| tried("a stand-in", s.local_addr())).collect::<Result<_, _>>()?;
+    let Addresses { clients, datagrams: addresses } = Addresses::free(plan.dispatchers, plan.seed)?;
     let layer = Datagrams::start(&addresses, plan.seed)?;
     layer.change(|w| w.delay_ms = 1);
-    drop((free, udp));
     let world = Arc::new(World {
         plan: *plan,
         clients,
--- a/rig/src/zones/mod.rs
+++ b/rig/src/zones/mod.rs
@@ -5,14 +5,14 @@
 mod stage;
 mod world;
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::datagrams::Datagrams;
+use crate::datagrams::{Addresses, Datagrams};
 use crate::http::held;
 use crate::{RigError, proved, tried};
 use check::check;
@@ -224,22 +224,9 @@
 fn played(plan: &Plan, binary: PathBuf, dir: &Path) -> Result<Figures, RigError> {
     let listen = || tried("a stand-in", TcpListener::bind("127.0.0.1:0"));
     let local = |l: &TcpListener| tried("a stand-in", l.local_addr());
-    // Addresses that were free a moment ago, for the processes to take: on a host address of this run's own, lest others
-    // take them meanwhile.
-    let pid = std::process::id();
-    let host = [127, 100 + (pid >> 8) as u8 % 100, pid as u8, plan.seed as u8];
-    let own = SocketAddr::from((host, 0));
-    let free: Vec<TcpListener> = (0..plan.dispatchers)
-        .map(|_| tried("a stand-in", TcpListener::bind(own)))
-        .collect::<Result<_, _>>()?;
-    let clients: Vec<SocketAddr> = free.iter().map(local).collect::<Result<_, _>>()?;
-    let udp: Vec<UdpSocket> =
-        (0..plan.dispatchers).map(|_| tried("a stand-in", UdpSocket::bind(own))).collect::<Result<_, _>>()?;
-    let addresses: Vec<SocketAddr> =
-        udp.iter().map(|s| tried("a stand-in", s.local_addr())).collect::<Result<_, _>>()?;
+    let Addresses { clients, datagrams: addresses } = Addresses::free(plan.dispatchers, plan.seed)?;
     let layer = Datagrams::start(&addresses, plan.seed)?;
     layer.change(|w| w.delay_ms = 1);
-    drop((free, udp));
     let world = Arc::new(World {
         plan: *plan,
         clients,
--- a/rig/src/zones/world.rs
+++ b/rig/src/zones/world.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::{DEADLINE, FALLS, Figures, LONG, Plan, SLOTS};
-use crate::http::{Http, header, held, serve, status, told};
+use crate::http::{Got, Http, hand_in, header, held, serve, told};
 
 /// How a zone's servers behave now.
 #[derive(Default)]
@@ -181,34 +181,17 @@
         // One in three may run again.
         let class = if number.is_multiple_of(3) { "search" } else { "confirm" };
         let id = format!("{process}-{number}");
-        let text = format!(
-            "POST /{class}/x HTTP/1.1\r\nHost: d\r\nReq-Id: {id}\r\nReq-Deadline: {}m\r\nContent-Length: 3\r\n\r\njob",
-            DEADLINE.as_millis()
-        );
         let calm = world.calm.load(Ordering::Relaxed);
         let hopeless = world.hopeless.load(Ordering::Relaxed);
-        let kept = conn.is_some();
-        let mut advised = false;
-        let got = conn
-            .take()
-            .map_or_else(|| Http::connect(world.clients[process], DEADLINE * 2), Ok)
-            .and_then(|mut http| {
-                if kept && !http.0.buffer().is_empty() {
-                    held(&world.figures).answered_twice += 1;
-                }
-                http.write(&text)?;
-                let (head, body) = http.read()?;
-                advised = header(&head, "retry-after").is_some();
-                let closes = header(&head, "connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
-                conn = (!closes).then_some(http);
-                Ok((status(&head), body))
-            });
+        let Got { answer, advised, kept, more } =
+            hand_in(&mut conn, world.clients[process], DEADLINE, class, &id);
         let took = began.elapsed();
         let away = world.was_away(process, began, Instant::now());
         let mut got_it = false;
         let mut figures = held(&world.figures);
         figures.jobs += 1;
-        match got {
+        figures.answered_twice += u64::from(more);
+        match answer {
             Ok((200, body)) => {
                 let (zone, served) = body.split_once(' ').unwrap_or(("", ""));
                 if served != id {
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -118,7 +118,7 @@
 }
 
 /// The time in a header such as `480m` or `9500u`, in milliseconds.
-fn span(text: &str) -> Option<f64> {
+pub(super) fn span(text: &str) -> Option<f64> {
     let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
     let number: u64 = number.parse().ok()?;
     match unit {
--- a/src/front/platform/gate.rs
+++ b/src/front/platform/gate.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use super::Platform;
+use super::clients::span;
 use crate::core::{PoolId, boot_ms};
 use crate::front::Sockets;
 use crate::ingest::{Empty, Event, Policy, PolicyError};
@@ -17,10 +18,14 @@
 /// Time between two looks at what waits, in milliseconds.
 const LOOK: f64 = 10.0;
 
-/// A request that waits: its connection, when it came, and what it says.
+/// What of its own time a request waits for the gate at most: then its client is told while it still listens.
+const OWN: f64 = 0.8;
+
+/// A request that waits: its connection, when it came, by when it is denied, and what it says.
 struct Waiting {
     conn: ConnId,
     came: f64,
+    until: f64,
     message: Message,
 }
 
@@ -65,7 +70,7 @@
 
     /// Whether clients may come: no gate, or one that has been opened.
     pub(super) fn gate_open(&self) -> bool {
-        self.gate.as_ref().is_none_or(|gate| gate.is_open() || gate.holds)
+        self.gate.as_ref().is_none_or(|gate| boot_ms() < gate.until)
     }
 
     /// What is wrong with a policy here; it is not taken over.
@@ -126,7 +131,9 @@
         if gate.waiting.is_empty() {
             gate.look = now + LOOK;
         }
-        gate.waiting.push_back(Waiting { conn: id, came: now, message });
+        let own = message.header("req-deadline").and_then(span).map_or(WAITS, |wait| wait * OWN);
+        let until = now + own.min(WAITS);
+        gate.waiting.push_back(Waiting { conn: id, came: now, until, message });
         if let Some(client) = self.clients.client(id) {
             client.waits = true;
         }
@@ -188,10 +195,8 @@
             return;
         };
         gate.look = now + LOOK;
-        let mut late = Vec::new();
-        while gate.waiting.front().is_some_and(|first| first.came + WAITS <= now) {
-            late.extend(gate.waiting.pop_front());
-        }
+        let (late, waiting) = gate.waiting.drain(..).partition::<VecDeque<_>, _>(|w| w.until <= now);
+        gate.waiting = waiting;
         gate.turned += late.len() as u64;
         for waiting in late {
             if let Some(message) = self.back(waiting.conn, waiting.message) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -74,6 +74,9 @@
     if platform.is_none() && gearman.is_none() && stream.is_none() {
         return Err("LB_CONFIG names no configuration, and --operator or --gearman no operator's file".into());
     }
+    if fleet.as_ref().is_some_and(|fleet| fleet.rollout.is_some()) && platform.is_none() {
+        return Err("rollout: only the platform's front asks a policy, and LB_CONFIG names none".into());
+    }
     let gearman = gearman.map(|config| open_gearman(config, &mut net, &clock)).transpose()?;
     let stream = stream.map(|config| open_stream(config, &mut net, &clock)).transpose()?;
     let platform = platform.map(|config| open_platform(config, &mut net, &clock)).transpose()?;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -176,6 +176,10 @@
     let mut client = Http::connect(address);
     client.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
     assert!(client.read().0.starts_with("HTTP/1.1 503"), "clients are to go elsewhere");
+    // One with little time is told while it still listens, and not after 2 s.
+    let asked = Instant::now();
+    client.write("POST /confirm-booking/x HTTP/1.1\r\nHost: a\r\nReq-Id: c-0\r\nReq-Deadline: 300m\r\nContent-Length: 0\r\n\r\n");
+    assert!(client.read().0.starts_with("HTTP/1.1 503") && asked.elapsed().as_millis() < 800);
     client.submit("confirm-booking", "c-2");
     let (head, _) = client.read();
     assert!(head.starts_with("HTTP/1.1 503") && value(&head, "retry-after").is_some(), "{head}");
@@ -196,17 +200,21 @@
     );
     let (well, log) = Program::operator(&text).wait();
     assert!(!well && log.contains("rollout: it needs the table [fleet]"), "{log}");
+    // Without the platform's front nobody would ask it.
+    let others: String = (0..3)
+        .map(|at| {
+            let address = format!("127.0.0.1:{}", at + 1);
+            format!(
+                "[[fleet.member]]\nname = \"n{at}\"\naddress = \"{address}\"\nzone = \"z\"\nvoter = true\n"
+            )
+        })
+        .collect();
+    let fleet_table = "[fleet]\ncluster = \"c\"\nname = \"n0\"\nstate = \"/tmp/none\"\nzones = [\"z\"]\n"
+        .to_string()
+        + &others;
     let (_, log) = {
         let config = config(128, nobody(), &fleet.hosts);
-        let table = "[fleet]\ncluster = \"c\"\nname = \"n0\"\nstate = \"/tmp/none\"\nzones = [\"z\"]\n".to_string()
-            + &(0..3)
-                .map(|at| {
-                    format!(
-                        "[[fleet.member]]\nname = \"n{at}\"\naddress = \"127.0.0.1:{}\"\nzone = \"z\"\nvoter = true\n",
-                        at + 1
-                    )
-                })
-                .collect::<String>();
+        let table = fleet_table.clone();
         let text = table + text.split_once('\n').unwrap().1;
         Program::of(Command::new(env!("CARGO_BIN_EXE_micabeam")), Some(&config), None, Some(&text)).wait()
     };
@@ -214,4 +222,9 @@
     let page = include_str!("../docs/operating/ingest.md");
     let line = page.lines().find_map(|line| line.strip_prefix("policy.toml: line 3")).unwrap();
     assert!(log.contains(&format!("policy-0.toml: line 3{line}")), "{log}");
+    fleet.want(0, &policy(1, "s-1"));
+    let stream = "[stream]\nlisten = \"127.0.0.1:0\"\nservers = [{name = \"a\", dial = \"127.0.0.1:1\"}]\n\
+                  [[stream.class]]\nname = \"export\"\nrepeat = \"safe\"\n";
+    let (well, log) = Program::operator(&(fleet_table + text.split_once('\n').unwrap().1 + stream)).wait();
+    assert!(!well && log.contains("only the platform's front asks a policy"), "{log}");
 }
