Story of a fleet that is all cold

Need: the bound of two turns a job for workers that warm up was only shown with one cold worker among warm ones (docs/ROADMAP.md). Change: tests/fleet.rs plays a hundred dispatchers over sixty workers that all have just started, asked for what they could do warm.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -159,24 +159,19 @@
     assert_eq!(calls, 0, "a dead worker costs the fleet calls for the list");
 }
 
-/// Sixty workers of three slots, jobs of 300 ms: 180 at a time, 600 a second. Most dispatchers send little, a few a
-/// lot. Guards against a new worker that is pushed over by all together, and against one that stands idle since
-/// each keeps a part of what it can take for itself.
-#[test]
-fn a_worker_just_born_gets_its_part_from_a_hundred_unlike_dispatchers() {
-    let (mut members, start) = (members(), 100 * SECOND);
-    let cold = members[7].worker;
-    members[7].born = start;
-    let mut fleet = fleet(&members, start);
-    // 55 % of what all can do: 330 jobs a second, 13 % of them by one dispatcher.
+/// Sixty workers of three slots, jobs of 300 ms: 180 at a time, 600 a second. So many jobs a second come for 6 s, 13 % of
+/// them to one dispatcher, and little to most. When each worker was sent its jobs, and how many there were.
+fn sends(members: &[Member], start: Micros, rate: f64) -> (BTreeMap<WorkerId, Vec<Micros>>, usize) {
+    let mut fleet = fleet(members, start);
     let mut jobs: Vec<(Micros, usize)> = Vec::new();
     for n in 0..100_usize {
-        let rate = if n == 0 { 43.0 } else { 68.0 / (n as f64 + 1.0) };
-        let count = (rate * 6.0) as u64;
+        let part = if n == 0 { 43.0 } else { 68.0 / (n as f64 + 1.0) };
+        let count = (part * rate / 330.0 * 6.0) as u64;
         jobs.extend((0..count).map(|i| (start + (i * 6_000_000 + n as u64 * 9973) / count.max(1), n)));
     }
     jobs.sort_unstable();
-    let (mut taken, total) = (Vec::new(), jobs.len());
+    let total = jobs.len();
+    let mut taken: BTreeMap<WorkerId, Vec<Micros>> = BTreeMap::new();
     let mut ends: Vec<(Micros, usize, u64, WorkerId)> = Vec::new();
     for (id, (now, n)) in jobs.into_iter().enumerate() {
         ends.sort_unstable();
@@ -192,19 +187,43 @@
         let Some(worker) = sent(&out) else { continue };
         fleet[n].handle(now, Event::Started { job: JobId(id), attempt: 0 }, &mut Vec::new());
         ends.push((now + 300 * MS, n, id, worker));
-        if worker == cold {
-            taken.push(now);
-        }
+        taken.entry(worker).or_default().push(now);
     }
-    // Three slots at 0.1 of their speed, warm after 20 s: it can do 1 a second at first, 3.7 after 6 s.
-    let can = |at: Micros| 10.0 * (0.1 + 0.9 * (at - start) as f64 / 20e6);
-    let window = 3 * SECOND;
+    (taken, total)
+}
+
+/// Three slots at 0.1 of their speed, warm after 20 s: jobs a second, 1 at first and 3.7 after 6 s.
+fn can(start: Micros, at: Micros) -> f64 {
+    10.0 * (0.1 + 0.9 * (at - start) as f64 / 20e6)
+}
+
+/// The most jobs that came within 3 s, as a part of what pushes the worker over: N + 3 root N + 3, N being what the
+/// settings allow.
+fn worst(taken: &[Micros], start: Micros) -> f64 {
+    let part = |&from: &Micros| {
+        let within = taken.iter().filter(|&&at| at >= from && at < from + 3 * SECOND).count() as f64;
+        let allowed = 2.5 * can(start, from) * 3.0;
+        within / (allowed + 3.0 * allowed.sqrt() + 3.0)
+    };
+    taken.iter().map(part).fold(0.0, f64::max)
+}
+
+/// Guards against a new worker that is pushed over by all together, and against one that stands idle since each keeps a
+/// part of what it can take for itself.
+#[test]
+fn a_worker_just_born_gets_its_part_from_a_hundred_unlike_dispatchers() {
+    let (mut members, start) = (members(), 100 * SECOND);
+    let cold = members[7].worker;
+    members[7].born = start;
+    // 55 % of what all can do.
+    let (all, total) = sends(&members, start, 330.0);
+    let taken = all.get(&cold).cloned().unwrap_or_default();
     for &from in &taken {
-        let within = taken.iter().filter(|&&at| at >= from && at < from + window).count() as f64;
-        let most = 2.5 * can(from) * 3.0;
+        let within = taken.iter().filter(|&&at| at >= from && at < from + 3 * SECOND).count() as f64;
+        let most = 2.5 * can(start, from) * 3.0;
         assert!(within <= most + 1.0, "{within} jobs within 3 s where {most:.1} push it over");
     }
-    let allowed = can(start + window) * 6.0;
+    let allowed = can(start, start + 3 * SECOND) * 6.0;
     assert!(
         taken.len() as f64 >= 0.3 * allowed,
         "{} of {total} jobs where it can do {allowed:.1}",
@@ -212,6 +231,21 @@
     );
 }
 
+/// All workers have just started, and all are asked for what they could do warm. Guards against two turns a job, which
+/// are meant for one cold worker among warm ones, that push a whole fleet over together.
+#[test]
+fn a_fleet_that_is_all_cold_is_not_pushed_over() {
+    let (mut members, start) = (members(), 100 * SECOND);
+    members.iter_mut().for_each(|member| member.born = start);
+    let (all, total) = sends(&members, start, 600.0);
+    let sent: usize = all.values().map(Vec::len).sum();
+    assert!(sent * 10 > total, "it is used: {sent} of {total}");
+    for (worker, taken) in &all {
+        let part = worst(taken, start);
+        assert!(part <= 1.0, "{worker:?} got {part:.2} of what pushes it over");
+    }
+}
+
 /// One worker of the own zone fails all it gets within milliseconds, and answers no probe. Guards against a fleet that
 /// pays one job that may not run twice for each dispatcher's first meeting with it, and against a probe for each job.
 #[test]
