All end-to-end headers of a request pass on to its server

Followed by its id through a log of what came and what went (trial on a scratch copy): clients of keyed classes send Idempotency-Key, and only Req-*, Content-Type and Accept were passed on. Ruled out: body, path and Req-Key, which went out as they came. Lines at fault: PASSED and `passed` in front/platform/clients.rs.

Change: what is not of one hop, nor said anew here (Host, Expect, Req-Id, Req-Deadline), passes on. The inline test of clients.rs moves to a test file.

--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -10,7 +10,7 @@
 use crate::core::{Request, SessionId, Verdict};
 use crate::front::Sockets;
 use crate::net::http::{self, Bad, Message};
-use crate::net::{Budget, ConnId};
+use crate::net::{Budget, ConnId, head};
 
 /// How long a client may be silent while it owes the rest of a request, or its first byte, in milliseconds.
 const SENDS: f64 = 2500.0;
@@ -28,8 +28,9 @@
 const YOUNG: f64 = 250.0;
 /// Longest wait that a client can ask for, in milliseconds.
 const PATIENCE: f64 = 3_600_000.0;
-/// Headers that pass on to a backend server, with those that start with `Req-`.
-const PASSED: [&str; 2] = ["content-type", "accept"];
+/// Headers that are said anew to a backend server, or answered here. All others but those of one hop pass on: what a
+/// client and a server agree on, such as a key that drops repeats, is theirs.
+const OWN: [&str; 4] = ["host", "expect", "req-id", "req-deadline"];
 
 /// One connection that was accepted.
 pub(super) struct Client {
@@ -388,17 +389,13 @@
         let slots = message.header("req-extra").and_then(slots).unwrap_or(1.0);
         let work = message.header("req-cost").and_then(work);
         let req_id: Rc<str> = req_id.into();
-        let passed = |name: &str| {
-            let name = name.to_ascii_lowercase();
-            let own = name == "req-id" || name == "req-deadline";
-            !own && (name.starts_with("req-") || PASSED.contains(&name.as_str()))
-        };
         let Way::To(pool) = self.way(class, &message) else { return self.turn_away(net, id, close) };
         let due = now + wait.min(PATIENCE);
         match self.core.request(Request { class, due, slots, work, pool }) {
             Err(verdict) => self.say(net, id, verdict, close),
             Ok(session) => {
-                let headers = message.headers.into_iter().filter(|(name, _)| passed(name)).collect();
+                let own = |name: &str| OWN.iter().any(|own| name.eq_ignore_ascii_case(own));
+                let headers = head::onward(&message.headers).filter(|(name, _)| !own(name)).cloned().collect();
                 let (target, body) = (message.target, message.body);
                 self.ids.insert(Rc::clone(&req_id), session);
                 self.jobs.insert(session, Job { client: id, id: req_id, target, headers, body });
@@ -490,36 +487,16 @@
 
 /// The work that a client expects, in milliseconds, from its figure in microseconds. What is no such figure, or
 /// beyond what a client can wait for, is no hint.
-fn work(cost: &str) -> Option<f64> {
+pub(super) fn work(cost: &str) -> Option<f64> {
     let micros: f64 = cost.trim().parse().ok()?;
     Some(micros / 1e3).filter(|work| *work > 0.0 && *work <= PATIENCE)
 }
 
 /// The slots among a request's further figures.
-fn slots(extra: &str) -> Option<f64> {
+pub(super) fn slots(extra: &str) -> Option<f64> {
     let value = |pair: &str| {
         let (name, value) = pair.split_once('=')?;
         matches!(name.trim(), "slots" | "needs").then(|| value.trim().parse::<f64>().ok())?
     };
     extra.split(',').find_map(value).filter(|slots| slots.is_finite() && *slots > 0.0)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn spans_and_slots_read() {
-        assert_eq!(span("480m"), Some(480.0));
-        assert_eq!(span("9500u"), Some(9.5));
-        for bad in ["", "m", "480", "-1m", "480é", "1e3m"] {
-            assert_eq!(span(bad), None, "{bad}");
-        }
-        assert_eq!(slots("memory=2,slots=4"), Some(4.0));
-        assert_eq!(slots("slots=nan"), None);
-        assert_eq!(work("480000"), Some(480.0));
-        for odd in ["", "0", "-3", "nan", "inf", "1e300", "480ms", "99999999999999"] {
-            assert_eq!(work(odd), None, "{odd} is no hint");
-        }
-    }
-}
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -7,6 +7,8 @@
 mod gate;
 mod probes;
 mod seam;
+#[cfg(test)]
+mod tests;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -39,6 +39,30 @@
     assert_eq!((counter(address, "taken"), counter(address, "served")), (2, 2));
 }
 
+/// Guards against a server that is handed another request than its client sent: what both agree on, such as the key by
+/// which repeats are dropped, is theirs. What is of one hop stays here, and what is said anew is said once.
+#[test]
+fn headers_that_a_client_and_a_server_agree_on_pass_on() {
+    let (worker, dial) = listener();
+    let (_program, address) = platform(nobody(), &[("s-1", dial)]);
+    let mut client = Http::connect(address);
+    client.write(
+        "POST /avail-search/x HTTP/1.1\r\nHost: a\r\nReq-Id: k1\r\nReq-Deadline: 4000m\r\n\
+         Idempotency-Key: f84ac7ad0002743a\r\nX-Of-Theirs: 1\r\nConnection: keep-alive, X-Of-One-Hop\r\n\
+         X-Of-One-Hop: 2\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\njob",
+    );
+    let (head, body) = Http::accept(&worker).read();
+    assert_eq!(body, "job");
+    assert_eq!(value(&head, "idempotency-key").as_deref(), Some("f84ac7ad0002743a"), "{head}");
+    assert_eq!(value(&head, "x-of-theirs").as_deref(), Some("1"), "{head}");
+    for (name, times) in
+        [("x-of-one-hop", 0), ("expect", 0), ("host", 1), ("req-id", 1), ("content-length", 1)]
+    {
+        let of = |line: &&str| line.to_ascii_lowercase().starts_with(&format!("{name}:"));
+        assert_eq!(head.lines().filter(of).count(), times, "{name} in {head}");
+    }
+}
+
 #[test]
 fn a_refused_connection_never_ran_and_the_job_goes_elsewhere() {
     let (worker, dial) = listener();
