A watch from the start where lists are pushed; silence and crossed calls made good in time

Why: where lists are pushed no watch was ever open: only the module's call begins one, and it calls where lists must be asked for. Read, not played: a silent watch was given up 2 s after its wait and the next call had 2.5 s, past the drain's grace; an answer cut off by a reset counted as ended; an older version was taken over.

Change (front/discovery.rs): an agent is asked from the start, with waits of 1 s, given up after 0.5 s more, and again 0.2 s after a failure. Where discovery is asked: waits of 5 s where dispatchers are few (10 before), given up 1 s after (2 before), and 3.5 s for a call without wait where they are many (2.5 before). A call on a kept connection that ends within 0.2 s with no byte has crossed its closing and is made again at once. What a reset cuts off is no answer. An older version is passed over once; told again, the whole list is asked for.

--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -10,13 +10,26 @@
 use crate::net::http;
 use crate::settings::Site;
 
-/// How long a call waits for news, in milliseconds.
-const WAIT: f64 = 10_000.0;
-/// How long a call that need not wait may take: discovery works through calls in turn.
+/// How long a call waits for news, in milliseconds: silence on it is noticed, and made good, before what it missed
+/// counts as told 6 s after it fell silent and is to be followed 2 s later.
+const WAIT: f64 = 5_000.0;
+/// How long a call that need not wait may take: discovery works through calls in turn. Where dispatchers are many a
+/// call is kept open for longer, since one that is given up takes discovery's time all the same.
 const GRACE: f64 = 2_500.0;
-/// A watch that has not answered so long after its wait was over has fallen silent: what it missed counts as told by
-/// then, and a drain is to be followed 2 s later.
-const SILENT: f64 = 2_000.0;
+const LONG_GRACE: f64 = 3_500.0;
+/// A watch that has not answered so long after its wait was over has fallen silent. What it missed counts as told 2 s
+/// after that wait and is to be followed 2 s later: by then the call that follows has had its time as well.
+const SILENT: f64 = 1_000.0;
+/// The same two where an agent on this machine pushes lists: it answers at once and at no cost. While discovery is
+/// down it is silent, and what it hears at the return counts as told at that moment.
+const AGENT_WAIT: f64 = 1_000.0;
+const AGENT_SILENT: f64 = 500.0;
+/// Time between a failed call to an agent and the next.
+const AGENT_PAUSE: f64 = 200.0;
+/// A call on a kept connection that ends so soon has crossed its closing: it was not read, and is made again.
+const CROSSED: f64 = 200.0;
+/// Answers of older versions that are passed over before the service is held to count anew.
+const STALE: u32 = 1;
 /// Time between an answer and the next call of the watch: a watch breaks after 200 ms.
 const PAUSE: f64 = 40.0;
 /// The same where dispatchers are many, at most. Waits grow with their number, so that all of them together begin a
@@ -34,6 +47,8 @@
         until: f64,
         /// It may wait for news: its silence says that the watch is broken, not that discovery is.
         waits: bool,
+        /// It went out on a connection that had answered before.
+        kept: bool,
     },
     Pausing {
         until: f64,
@@ -74,6 +89,8 @@
     conn: Option<ConnId>,
     /// The version held; none where the next call asks for the whole list.
     seq: Option<u64>,
+    /// Answers in a row that told an older version than the one held, and were not taken.
+    older: u32,
     watch: Watch,
     rng: fastrand::Rng,
 }
@@ -82,7 +99,15 @@
     /// A watch that has not begun, from a version on.
     pub fn new(address: SocketAddr, told: Option<SocketAddr>, seq: u64, seed: u64) -> Discovery {
         let rng = fastrand::Rng::with_seed(seed);
-        Discovery { address, told, conn: None, seq: Some(seq), watch: Watch::Off, rng }
+        Discovery { address, told, conn: None, seq: Some(seq), older: 0, watch: Watch::Off, rng }
+    }
+
+    /// Begins the watch where lists are pushed: no call of the module does, since calls to an agent cost nothing and
+    /// what it has counts as told whether or not a watch is open.
+    pub fn begin(&mut self, now: f64, settings: &Settings) {
+        if !settings.must_subscribe {
+            self.watch = Watch::Pausing { until: now };
+        }
     }
 
     /// Whether a connection is its own.
@@ -109,11 +134,14 @@
             self.hang_up(net);
         }
         let wait = self.seq.map_or(0.0, |_| self.longest(settings));
-        self.ask(net, now, wait)
+        self.ask(net, now, wait, settings)
     }
 
     /// How long a call may wait for news.
     fn longest(&mut self, settings: &Settings) -> f64 {
+        if !settings.must_subscribe {
+            return AGENT_WAIT;
+        }
         if !settings.many() {
             return WAIT;
         }
@@ -123,19 +151,25 @@
     }
 
     /// Asks for what is newer than the version held, and lets the call wait so long for it.
-    fn ask(&mut self, net: &mut Sockets, now: f64, wait: f64) -> Option<Heard> {
+    fn ask(&mut self, net: &mut Sockets, now: f64, wait: f64, settings: &Settings) -> Option<Heard> {
         let waits = wait > 0.0;
-        let until = now + wait + if waits { SILENT } else { GRACE };
-        self.watch = Watch::Calling { since: now, until, waits };
+        let takes = match (settings.must_subscribe, waits) {
+            (false, _) => AGENT_SILENT,
+            (true, true) => SILENT,
+            (true, false) if settings.many() => LONG_GRACE,
+            (true, false) => GRACE,
+        };
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
-        let conn = match self.conn.filter(fresh) {
+        let kept = self.conn.filter(fresh);
+        self.watch = Watch::Calling { since: now, until: now + wait + takes, waits, kept: kept.is_some() };
+        let conn = match kept {
             Some(conn) => Ok(conn),
             None => {
                 self.hang_up(net);
                 net.open(self.address)
             }
         };
-        let Ok(conn) = conn else { return Some(self.failed(net)) };
+        let Ok(conn) = conn else { return self.failed(net, now, settings) };
         self.conn = Some(conn);
         let target = match self.seq {
             Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={}", wait as u64),
@@ -151,15 +185,29 @@
         let conn = self.conn.and_then(|id| net.conn(id))?;
         conn.pump();
         let ended = conn.eof || conn.broken;
-        let message = http::response(&mut conn.rx, ended);
-        let calling = matches!(self.watch, Watch::Calling { .. });
+        // Guards against half an answer that is taken for a whole one: what a reset cuts off has not ended.
+        let message = http::response(&mut conn.rx, conn.eof && !conn.broken);
+        let Watch::Calling { since, waits, kept, .. } = self.watch else {
+            // Nothing was asked for.
+            if ended || !matches!(message, Ok(None)) {
+                self.hang_up(net);
+            }
+            return None;
+        };
         match message {
             Ok(None) if !ended => None,
-            Ok(Some(message)) if calling && message.status == 200 => {
+            // Guards against a failure that is none: the call crossed the closing of a connection that was kept.
+            Ok(None) if kept && now < since + CROSSED => {
+                self.hang_up(net);
+                let wait = if waits { self.longest(&site.settings) } else { 0.0 };
+                self.ask(net, now, wait, &site.settings)
+            }
+            Ok(Some(message)) if message.status == 200 => {
                 if ended || message.close {
                     self.hang_up(net);
                 }
                 match json::parse(&message.body).and_then(|list| read_list(&list, site)) {
+                    Ok((seq, _, _)) if self.is_stale(seq) => self.failed(net, now, &site.settings),
                     Ok((seq, lines, whole)) => {
                         self.seq = Some(seq);
                         self.watch = Watch::Pausing { until: now + PAUSE };
@@ -167,18 +215,26 @@
                     }
                     Err(e) => {
                         crate::say(format_args!("discovery's answer does not read: {e}"));
-                        Some(self.failed(net))
+                        self.failed(net, now, &site.settings)
                     }
                 }
             }
-            _ if calling => Some(self.failed(net)),
-            _ => {
-                self.hang_up(net);
-                None
-            }
+            _ => self.failed(net, now, &site.settings),
         }
     }
 
+    /// Whether a version is older than the one held. Guards against a drain that is forgotten again as a late copy of
+    /// the service answers. One that tells older versions again and again has begun to count anew: it is asked for the
+    /// whole list.
+    fn is_stale(&mut self, seq: u64) -> bool {
+        let stale = self.seq.is_some_and(|held| seq < held);
+        self.older = if stale { self.older + 1 } else { 0 };
+        if self.older > STALE {
+            self.seq = None;
+        }
+        stale
+    }
+
     /// Goes over to the discovery service that the configuration names, if it names another one than before.
     /// Its versions need not go on from those of the old one, which soon ends all watches: the whole list is
     /// asked for first.
@@ -193,6 +249,7 @@
         self.hang_up(net);
         let watch = Watch::Pausing { until: now };
         (self.address, self.told, self.seq, self.watch) = (address, told, None, watch);
+        self.older = 0;
         self.tick(net, now, settings)
     }
 
@@ -202,10 +259,15 @@
         }
     }
 
-    fn failed(&mut self, net: &mut Sockets) -> Heard {
+    /// The module says when to call again, but for an agent, which is asked again at once.
+    fn failed(&mut self, net: &mut Sockets, now: f64, settings: &Settings) -> Option<Heard> {
         self.hang_up(net);
+        if !settings.must_subscribe {
+            self.watch = Watch::Pausing { until: now + AGENT_PAUSE };
+            return None;
+        }
         self.watch = Watch::Off;
-        Heard::Failed
+        Some(Heard::Failed)
     }
 
     /// Does what is due by now.
@@ -215,9 +277,9 @@
             // asked anew at once, on a new connection. Watches of many end at unlike times, so that this is no rush.
             Watch::Calling { until, waits: true, .. } if until <= now => {
                 self.hang_up(net);
-                self.ask(net, now, 0.0)
+                self.ask(net, now, 0.0, settings)
             }
-            Watch::Calling { until, .. } if until <= now => Some(self.failed(net)),
+            Watch::Calling { until, .. } if until <= now => self.failed(net, now, settings),
             Watch::Pausing { until } if until <= now => self.call(net, now, settings),
             _ => None,
         }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -75,6 +75,7 @@
             away_look: f64::INFINITY,
         };
         front.core.known(known.1);
+        front.discovery.begin(front.core.clock().now(), &front.core.site().settings);
         front
     }
 
