--- a/src/api.rs
+++ b/src/api.rs
@@ -48,6 +48,10 @@
     pub const MANY: u32 = 16;
     /// Time that discovery has for one call, of all dispatchers together.
     pub const CALL_EACH: Micros = 80_000;
+    /// A change of the list counts as told so long after discovery had it and could be reached, whatever call failed.
+    pub const TOLD: Micros = 6_000_000;
+    /// What of that a call may take that is given up as silent while discovery is back already.
+    const SILENT_CALL: Micros = 1_000_000;
 
     /// Whether dispatchers are many.
     pub fn many(&self) -> bool {
@@ -69,6 +73,12 @@
     pub fn call_span(&self) -> Micros {
         (Micros::from(self.dispatchers) * Settings::CALL_EACH).min(self.rules.ask_within / 5 * 4)
     }
+
+    /// The longest backoff of a call to discovery: the list is held again within `TOLD` and the drain's grace after
+    /// discovery is back. Many dispatchers need all of `TOLD`: discovery gets through the calls of all in little less.
+    pub fn longest_backoff(&self) -> Micros {
+        if self.many() { Settings::TOLD } else { Settings::TOLD - Settings::SILENT_CALL }
+    }
 }
 
 /// A class of jobs.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,7 +21,7 @@
 pub use table::{Line, Server, ServerTable};
 
 use crate::Dispatcher;
-use crate::api::{Action, Event, Member, MemberState, Micros, Outcome, Report, WorkerId};
+use crate::api::{Action, Event, JobId, Member, MemberState, Micros, Outcome, Report, WorkerId};
 use crate::learned::Learned;
 use crate::settings::Site;
 use crate::telemetry::{Gauges, Telemetry};
@@ -403,6 +403,15 @@
         &self.counters
     }
 
+    /// Whether a dispatch may be written now that its connection is up. What has happened since it was decided is
+    /// looked at again: if it may not, it never ran, and the front ends it so.
+    pub fn stands(&self, session: SessionId, attempt: usize) -> bool {
+        let Some(open) = self.sessions.get(&session).filter(|s| !s.over) else { return false };
+        let module = self.pools.get(&open.request.pool).map_or(&self.module, |pool| &pool.module);
+        let out = open.dispatches.get(attempt).is_some_and(|d| d.out);
+        out && module.stands(micros(self.clock.now()), JobId(session), attempt)
+    }
+
     /// A dispatch's request was written whole to its backend server, where its body was not relayed as it came.
     pub fn written_whole(&mut self, session: SessionId, attempt: usize) {
         stages::relay::whole(self, session, attempt);
--- a/src/front/discovery.rs
+++ b/src/front/discovery.rs
@@ -27,7 +27,7 @@
 /// Time between a failed call to an agent and the next.
 const AGENT_PAUSE: f64 = 200.0;
 /// A call on a kept connection that ends so soon has crossed its closing: it was not read, and is made again.
-const CROSSED: f64 = 200.0;
+const CROSSED: f64 = 500.0;
 /// Answers of older versions that are passed over before the service is held to count anew.
 const STALE: u32 = 1;
 /// Time between an answer and the next call of the watch: a watch breaks after 200 ms.
--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use rustc_hash::FxHashMap;
+use rustix::io::Errno;
 
 use super::Platform;
 use crate::api::{Outcome, Report, WorkerId};
@@ -16,6 +17,11 @@
 pub(super) const PATIENCE: f64 = 500.0;
 /// How long an answer that nobody needs is waited for, so that its connection can be used again.
 const SPARE: f64 = 2000.0;
+/// How long a connection rests on which a job was turned away, in milliseconds. A second copy of such an answer, some
+/// milliseconds late, would say of the next job that it never ran.
+const REST: f64 = 50.0;
+/// How often an attempt is given up anew whose `DELETE` could not be written.
+const GIVES_UP: u32 = 3;
 
 /// A dispatch: its session and its number.
 pub(super) type FlightId = (SessionId, usize);
@@ -24,6 +30,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Work {
     Idle,
+    /// It was decided and not written: its connection has to come up, or an older attempt to be given up first.
+    Decided(FlightId),
     Dispatch(FlightId),
     /// Since when it was wanted, and since when its connection has been up.
     Probe {
@@ -32,6 +40,10 @@
     },
     /// An answer that nobody needs.
     Spent,
+    /// The call that gives an attempt up, until it is written.
+    GivesUp(FlightId),
+    /// It has turned a job away just now.
+    Rests,
 }
 
 struct Backend {
@@ -49,6 +61,10 @@
     pub server: WorkerId,
     pub conn: Option<ConnId>,
     pub id: Rc<str>,
+    /// Where its connection leads.
+    address: String,
+    /// How often it was tried in vain to give it up, where the next attempt waits for that.
+    leaves: Option<u32>,
 }
 
 /// All connections to backend servers.
@@ -81,6 +97,18 @@
         }
     }
 
+    /// Attempts of a session that are being given up where no two may be out: whether the next may go, none while
+    /// that is not known.
+    fn gave_up(&self, session: SessionId) -> Option<bool> {
+        let leaving = self.flights.iter().filter(|((s, _), _)| *s == session).filter_map(|(_, f)| f.leaves);
+        leaving.max().map_or(Some(true), |tries| (tries >= GIVES_UP).then_some(false))
+    }
+
+    /// Forgets what a session that is over was still giving up.
+    pub fn forget(&mut self, session: SessionId) {
+        self.flights.retain(|(s, _), flight| *s != session || flight.leaves.is_none());
+    }
+
     pub fn next(&self) -> f64 {
         self.conns.values().map(|b| b.until).fold(f64::INFINITY, f64::min)
     }
@@ -92,8 +120,13 @@
     }
 
     /// A connection to a backend server: an idle one that is whole, or a new one. None proves that nothing
-    /// was sent.
-    pub(super) fn acquire(&mut self, net: &mut Sockets, server: WorkerId, work: Work) -> Option<ConnId> {
+    /// was sent, and says whether the server is to blame.
+    pub(super) fn acquire(
+        &mut self,
+        net: &mut Sockets,
+        server: WorkerId,
+        work: Work,
+    ) -> Result<ConnId, Outcome> {
         let now = self.core.clock().now();
         while let Some(id) = self.backends.pool.take(server, now) {
             // Guards against a connection that the peer has closed: a request written there would be lost.
@@ -101,7 +134,7 @@
                 self.backends
                     .conns
                     .insert(id, Backend { server, work, until: f64::INFINITY, kept: true, up: true });
-                return Some(id);
+                return Ok(id);
             }
             self.close_backend(net, id);
         }
@@ -109,27 +142,73 @@
     }
 
     /// A new connection to a backend server.
-    pub(super) fn open_backend(&mut self, net: &mut Sockets, server: WorkerId, work: Work) -> Option<ConnId> {
+    pub(super) fn open_backend(
+        &mut self,
+        net: &mut Sockets,
+        server: WorkerId,
+        work: Work,
+    ) -> Result<ConnId, Outcome> {
         let now = self.core.clock().now();
         if self.backends.conns.len() >= self.backends.most {
-            let idle = self.backends.pool.oldest()?;
+            // Guards against servers that are held to have failed as all connections here are in use.
+            let idle = self.backends.pool.oldest().ok_or(Outcome::NotSent)?;
             self.close_backend(net, idle);
         }
-        let address: SocketAddr = self.core.table().get(server)?.line.address.parse().ok()?;
-        let id = net.open(address).ok()?;
+        let address: Option<SocketAddr> =
+            self.core.table().get(server).and_then(|s| s.line.address.parse().ok());
+        let id =
+            net.open(address.ok_or(Outcome::Unreachable)?).map_err(|e| match Errno::from_io_error(&e) {
+                Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::ADDRNOTAVAIL) => Outcome::NotSent,
+                _ => Outcome::Unreachable,
+            })?;
         let until = now + self.core.site().connect_timeout;
         self.backends.conns.insert(id, Backend { server, work, until, kept: false, up: false });
-        Some(id)
+        Ok(id)
     }
 
+    /// Finds a connection for a dispatch. It is written once that is up, which may be much later.
     pub(super) fn send(&mut self, net: &mut Sockets, session: SessionId, attempt: usize, server: WorkerId) {
         let flight = (session, attempt);
-        let due = self.core.session(session).map(|s| s.request.due);
-        let (Some(due), true) = (due, self.jobs.contains_key(&session)) else { return };
-        let Some(conn) = self.acquire(net, server, Work::Dispatch(flight)) else {
-            return self.unserved(flight, Outcome::Unreachable, Report::default());
+        if self.has_left(net, session) {
+            return;
+        }
+        let conn = match self.acquire(net, server, Work::Decided(flight)) {
+            Ok(conn) => conn,
+            Err(outcome) => return self.unserved(flight, outcome, Report::default()),
         };
-        let (left, host) = (due - self.core.clock().now(), self.host(server));
+        let (id, address) = (Rc::clone(&self.jobs[&session].id), self.host(server));
+        self.backends.flights.insert(flight, Flight { server, conn: Some(conn), id, address, leaves: None });
+        self.backend_ready(net, conn);
+    }
+
+    /// Writes a dispatch whose connection is up. Much can have come between its decision and now: the client has
+    /// left, the server drains, has moved or was started anew, the time for a repeat is over. Then it never ran.
+    fn launch(&mut self, net: &mut Sockets, conn: ConnId, flight: FlightId) {
+        let (session, attempt) = flight;
+        if self.has_left(net, session) {
+            return;
+        }
+        let Some(Flight { server, address, .. }) = self.backends.flights.get(&flight) else { return };
+        let (server, host) = (*server, self.host(*server));
+        let stands = host == *address && self.core.stands(session, attempt);
+        let given_up = if self.core.site().copies { Some(true) } else { self.backends.gave_up(session) };
+        // A connection that has ended says of a server that took it just now that it fails.
+        let whole = net.conn(conn).is_some_and(|c| c.is_fresh());
+        let kept = self.backends.conns.get(&conn).is_none_or(|b| b.kept || b.until == f64::INFINITY);
+        let outcome = match (stands && given_up != Some(false), whole) {
+            (true, true) if given_up.is_none() => {
+                // A second copy must not be out beside the first: it waits until that is given up.
+                return self.backends.until(conn, f64::INFINITY);
+            }
+            (true, true) => None,
+            (true, false) if !kept => Some(Outcome::Unreachable),
+            _ => Some(Outcome::NotSent),
+        };
+        if let Some(outcome) = outcome {
+            self.close_backend(net, conn);
+            return self.unserved(flight, outcome, Report::default());
+        }
+        let left = self.core.session(session).map_or(0.0, |s| s.request.due) - self.core.clock().now();
         let job = &self.jobs[&session];
         let mut headers = vec![
             ("Host", host),
@@ -138,8 +217,10 @@
         ];
         headers.extend(job.headers.iter().map(|(name, value)| (name.as_str(), value.clone())));
         let bytes = http::ask("POST", &job.target, &headers, Some(&job.body));
-        let id = Rc::clone(&job.id);
-        self.backends.flights.insert(flight, Flight { server, conn: Some(conn), id });
+        if let Some(backend) = self.backends.conns.get_mut(&conn) {
+            (backend.work, backend.until, backend.up) = (Work::Dispatch(flight), f64::INFINITY, true);
+        }
+        debug_assert_eq!(self.backends.flights.get(&flight).map(|f| f.server), Some(server));
         net.write(conn, &bytes);
         self.backend_ready(net, conn);
     }
@@ -150,16 +231,50 @@
         if let Some(conn) = flight.conn {
             return self.close_backend(net, conn);
         }
+        // While the session goes on its next attempt waits where no two may be out together.
+        let waits = !self.core.site().copies && self.jobs.contains_key(&session);
+        let (server, id) = (flight.server, Rc::clone(&flight.id));
+        if waits {
+            let flight = Flight { leaves: Some(0), ..flight };
+            self.backends.flights.insert((session, attempt), flight);
+        }
+        self.give_up(net, (session, attempt), server, &id);
+    }
+
+    fn give_up(&mut self, net: &mut Sockets, flight: FlightId, server: WorkerId, id: &str) {
         let now = self.core.clock().now();
-        let Some(conn) = self.acquire(net, flight.server, Work::Spent) else { return };
+        let Ok(conn) = self.acquire(net, server, Work::GivesUp(flight)) else {
+            return self.not_given_up(net, flight);
+        };
         if net.conn(conn).is_some_and(|c| !c.connecting) {
             self.backends.until(conn, now + SPARE);
         }
-        let host = [("Host", self.host(flight.server))];
-        net.write(conn, &http::ask("DELETE", &format!("/jobs/{}", flight.id), &host, None));
+        let host = [("Host", self.host(server))];
+        net.write(conn, &http::ask("DELETE", &format!("/jobs/{id}"), &host, None));
         self.backend_ready(net, conn);
     }
 
+    /// A `DELETE` could not be written: it is tried again where the next attempt waits for it.
+    fn not_given_up(&mut self, net: &mut Sockets, flight: FlightId) {
+        let Some(leaving) = self.backends.flights.get_mut(&flight) else { return };
+        let Some(tries) = &mut leaving.leaves else { return };
+        *tries += 1;
+        let (tries, server, id) = (*tries, leaving.server, Rc::clone(&leaving.id));
+        if tries < GIVES_UP {
+            self.give_up(net, flight, server, &id);
+        } else {
+            self.resume(net, flight.0);
+        }
+    }
+
+    /// Lets a session's next attempt go on that waited for an older one to be given up.
+    fn resume(&mut self, net: &mut Sockets, session: SessionId) {
+        let own = self.backends.flights.iter().filter(|((s, _), _)| *s == session);
+        for conn in own.filter_map(|(_, f)| f.conn).collect::<Vec<_>>() {
+            self.backend_ready(net, conn);
+        }
+    }
+
     /// Takes a dispatch that has ended off its connection, which still awaits an answer.
     pub(super) fn detach(&mut self, flight: FlightId) {
         let now = self.core.clock().now();
@@ -179,22 +294,28 @@
     pub(super) fn backend_ready(&mut self, net: &mut Sockets, id: ConnId) {
         let now = self.core.clock().now();
         let (Some(conn), Some(backend)) = (net.conn(id), self.backends.conns.get_mut(&id)) else { return };
+        if let Work::Decided(flight) = backend.work {
+            if conn.come_up() {
+                return self.launch(net, id, flight);
+            }
+            return if conn.broken {
+                self.broke(net, id, false)
+            };
+        }
         conn.pump();
         // Guards against a connection that came up within the write of its request, as on loopback: seen up only
-        // by the state of the socket, it kept its time limit to connect, and a server that took longer than that
-        // to say 202 had its job held never to have run.
+        // by the state of the socket, it kept its time limit to connect.
         if !backend.up && !conn.connecting && !conn.broken {
             backend.up = true;
             match &mut backend.work {
-                Work::Dispatch(_) => backend.until = f64::INFINITY,
-                Work::Spent => backend.until = now + SPARE,
+                Work::Spent | Work::GivesUp(_) => backend.until = now + SPARE,
                 Work::Probe { up, .. } => *up = now,
-                Work::Idle => {}
+                Work::Idle | Work::Rests | Work::Decided(_) | Work::Dispatch(_) => {}
             }
         }
         let ended = conn.eof || conn.broken;
-        // What came before a break counts; a whole answer is an answer.
-        let message = http::response(&mut conn.rx, ended);
+        // What came before a break counts; a whole answer is an answer. What a reset cut off is none.
+        let message = http::response(&mut conn.rx, conn.eof && !conn.broken);
         let stray = !conn.rx.is_empty();
         let written = !conn.connecting && conn.tx.is_empty();
         let (server, work) = (backend.server, backend.work);
@@ -202,15 +323,23 @@
             // An attempt counts once its last byte has gone to the socket.
             self.core.written_whole(session, attempt);
         }
+        let given_up = match work {
+            Work::GivesUp(flight) if written => {
+                backend.work = Work::Spent;
+                Some(flight)
+            }
+            _ => None,
+        };
         match message {
-            Ok(Some(message)) if !matches!(work, Work::Idle) => {
+            Ok(Some(message)) if !matches!(work, Work::Idle | Work::Rests) => {
                 let reusable = !(ended || stray || message.close) && written;
-                backend.work = Work::Idle;
-                backend.until = f64::INFINITY;
-                if reusable {
-                    self.backends.pool.put(server, id, now);
-                } else {
+                let declined = matches!(work, Work::Dispatch(_)) && declines(&message);
+                (backend.work, backend.until) =
+                    if declined { (Work::Rests, now + REST) } else { (Work::Idle, f64::INFINITY) };
+                if !reusable {
                     self.close_backend(net, id);
+                } else if !declined {
+                    self.backends.pool.put(server, id, now);
                 }
                 self.answered(server, work, &message);
             }
@@ -218,13 +347,18 @@
             // An end, bytes that nobody asked for, or an answer that does not read.
             _ => self.broke(net, id, written),
         }
+        if let Some(flight) = given_up
+            && self.backends.flights.get(&flight).is_some_and(|f| f.leaves.is_some())
+        {
+            self.backends.flights.remove(&flight);
+            self.resume(net, flight.0);
+        }
     }
 
     fn answered(&mut self, server: WorkerId, work: Work, message: &Message) {
         match work {
             Work::Probe { up, .. } => self.probed(server, up, message),
             Work::Dispatch(flight) => {
-                let declined = message.header("srv-declined") == Some("1");
                 let report = message.header("srv-load").map_or(Report::default(), |t| self.load_text(t));
                 match message.status {
                     202 => {
@@ -232,7 +366,7 @@
                             flight.conn = None;
                         }
                     }
-                    503 | 504 if declined => self.unserved(flight, Outcome::Full, report),
+                    _ if declines(message) => self.unserved(flight, Outcome::Full, report),
                     // What is wrong with the request is not its server's failure; to come too late, too early or
                     // too often is nothing wrong with it.
                     400..500 if !matches!(message.status, 408 | 425 | 429) => {
@@ -241,7 +375,7 @@
                     _ => self.unserved(flight, Outcome::Error, report),
                 }
             }
-            Work::Spent | Work::Idle => {}
+            Work::Spent | Work::Idle | Work::Rests | Work::GivesUp(_) | Work::Decided(_) => {}
         }
     }
 
@@ -251,6 +385,8 @@
         let (server, work, kept) = (backend.server, backend.work, backend.kept);
         self.close_backend(net, id);
         match work {
+            Work::Decided(flight) => self.unserved(flight, Outcome::Unreachable, Report::default()),
+            Work::GivesUp(flight) if !written => self.not_given_up(net, flight),
             Work::Dispatch(flight) => {
                 let outcome = if written { Outcome::Reset } else { Outcome::Unreachable };
                 self.unserved(flight, outcome, Report::default());
@@ -265,7 +401,7 @@
                 let latency = self.core.clock().now() - asked;
                 self.core.probed(server, false, latency, Report::default());
             }
-            Work::Idle | Work::Spent => {}
+            Work::Idle | Work::Rests | Work::Spent | Work::GivesUp(_) => {}
         }
     }
 
@@ -275,8 +411,14 @@
         if self.backends.next() <= now {
             let over = self.backends.conns.iter().filter(|(_, b)| b.until <= now).map(|(&id, _)| id);
             for id in over.collect::<Vec<_>>() {
-                // A dispatch has a time limit only while it connects, so that nothing of it was written.
-                self.broke(net, id, false);
+                match self.backends.conns.get_mut(&id) {
+                    Some(backend) if matches!(backend.work, Work::Rests) => {
+                        (backend.work, backend.until) = (Work::Idle, f64::INFINITY);
+                        self.backends.pool.put(backend.server, id, now);
+                    }
+                    // A dispatch has a time limit only while it connects, so that nothing of it was written.
+                    _ => self.broke(net, id, false),
+                }
             }
         }
         for id in self.backends.pool.expired(now) {
@@ -291,3 +433,8 @@
         }
     }
 }
+
+/// Whether an answer says that the job was turned away, and never ran.
+fn declines(message: &Message) -> bool {
+    matches!(message.status, 503 | 504) && message.header("srv-declined") == Some("1")
+}
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -94,9 +94,9 @@
         self.look
     }
 
-    /// Whether every answer is written.
-    pub fn all_written(&self, net: &mut Sockets) -> bool {
-        self.conns.keys().all(|&id| net.conn(id).is_none_or(|conn| conn.tx.is_empty() || conn.broken))
+    /// Whether every connection has ended.
+    pub fn all_ended(&self) -> bool {
+        self.conns.is_empty()
     }
 
     /// Notes what is held for one, and tells whether it fits. Guards against memory that many half-sent bodies
@@ -200,13 +200,26 @@
             if gone {
                 return self.drop_client(net, id);
             }
-            let unread = conn.rx.len();
+            let (unread, full) = (conn.rx.len(), conn.rx.room() == 0);
             match self.clients.conns.get(&id) {
                 Some(client) if client.session.is_none() && !client.waits => {}
                 Some(client) => {
                     let held = client.held.max(unread);
                     self.clients.hold(id, held);
-                    return;
+                    if !full {
+                        return;
+                    }
+                    // Guards against an end that is not seen behind more than can be held: a client that sends so much
+                    // before it has its answer is read to its end, and its connection is not used again.
+                    if let Some(conn) = net.conn(id) {
+                        conn.rx.consume(unread);
+                        conn.last = true;
+                    }
+                    turns += 1;
+                    if turns > TURNS {
+                        return self.clients.later.push(id);
+                    }
+                    continue;
                 }
                 None => return,
             }
@@ -276,6 +289,19 @@
         }
     }
 
+    /// Whether a session's client has gone, by a look at its connection before anything is sent for it. Guards against an
+    /// attempt that begins as its client's end waits to be read in the same turn of the loop.
+    pub(super) fn has_left(&mut self, net: &mut Sockets, session: SessionId) -> bool {
+        let Some(client) = self.jobs.get(&session).map(|job| job.client) else { return true };
+        let Some(conn) = net.conn(client) else { return true };
+        conn.pump();
+        let gone = conn.eof || conn.broken;
+        if gone {
+            self.drop_client(net, client);
+        }
+        gone
+    }
+
     /// Ends connections whose peers do not end them, or do not send a whole request in good time.
     pub(super) fn sweep_clients(&mut self, net: &mut Sockets, now: f64) {
         if self.clients.look > now {
@@ -307,11 +333,46 @@
             self.client_ready(net, id);
             let done = net.conn(id).is_none_or(|conn| conn.tx.is_empty() && conn.rx.is_empty());
             if done && self.clients.conns.get(&id).is_some_and(idle_now) {
-                self.drop_client(net, id);
+                self.close_gently(net, id);
             }
         }
     }
 
+    /// The last turn of a stop, with no session open: what waits in the backlog is accepted, since it counts as taken,
+    /// and what has come is denied; then every connection is ended gently. Guards against an exit that resets them.
+    pub(super) fn close_all(&mut self, net: &mut Sockets) {
+        self.core.stop();
+        self.accept_all(net);
+        net.unlisten(self.clients.listener);
+        for id in self.clients.conns.keys().copied().collect::<Vec<_>>() {
+            self.client_ready(net, id);
+            if self.clients.conns.get(&id).is_some_and(idle_now) {
+                self.close_gently(net, id);
+            }
+        }
+    }
+
+    /// Ends a connection between requests: this side at once, the whole of it once the peer has ended its own. Guards
+    /// against bytes that cross the closing: left unread they would reset the connection, and an answer under way with it.
+    /// What is read from now on is not answered nor sent on, so that its client sends it elsewhere.
+    fn close_gently(&mut self, net: &mut Sockets, id: ConnId) {
+        self.closing(net, id);
+        self.client_ready(net, id);
+    }
+
+    /// From now on nothing is taken on a connection, which ends once all is written.
+    fn closing(&mut self, net: &mut Sockets, id: ConnId) {
+        if let Some(conn) = net.conn(id) {
+            conn.closing = true;
+        }
+        // Its peer is to take its answer in good time as well.
+        let now = self.core.clock().now();
+        if let Some(client) = self.clients.conns.get_mut(&id) {
+            client.sends = Some(now + SENDS);
+        }
+        self.clients.look = self.clients.look.min(now + LOOK);
+    }
+
     fn request(&mut self, net: &mut Sockets, id: ConnId, message: Message) {
         let path = message.target.split('?').next().unwrap_or("").to_string();
         let close = message.close;
@@ -395,7 +456,8 @@
             Err(verdict) => self.say(net, id, verdict, close),
             Ok(session) => {
                 let own = |name: &str| OWN.iter().any(|own| name.eq_ignore_ascii_case(own));
-                let headers = head::onward(&message.headers).filter(|(name, _)| !own(name)).cloned().collect();
+                let headers =
+                    head::onward(&message.headers).filter(|(name, _)| !own(name)).cloned().collect();
                 let (target, body) = (message.target, message.body);
                 self.ids.insert(Rc::clone(&req_id), session);
                 self.jobs.insert(session, Job { client: id, id: req_id, target, headers, body });
@@ -412,6 +474,7 @@
     fn forget(&mut self, session: SessionId) -> Option<Job> {
         let job = self.jobs.remove(&session)?;
         self.ids.remove(&job.id);
+        self.backends.forget(session);
         Some(job)
     }
 
@@ -459,18 +522,13 @@
         let away = self.evacuating && client.is_some_and(|c| !c.calls_back);
         // A link stays to the end: the process at its other end could not open another.
         let ends = self.closes() && client.is_none_or(|c| !c.link);
-        let close = close || away || ends || matches!(status, 400 | 413 | 501);
+        let last = net.conn(id).is_some_and(|conn| conn.last);
+        let close = close || last || away || ends || matches!(status, 400 | 413 | 501);
         if !net.write(id, &http::answer(status, headers, body, close)) {
             return self.drop_client(net, id);
         }
-        if let Some(conn) = net.conn(id).filter(|_| close) {
-            conn.closing = true;
-            // It is to take its answer in good time as well.
-            let now = self.core.clock().now();
-            if let Some(client) = self.clients.conns.get_mut(&id) {
-                client.sends = Some(now + SENDS);
-            }
-            self.clients.look = self.clients.look.min(now + LOOK);
+        if close {
+            self.closing(net, id);
         }
     }
 }
--- a/src/front/platform/config.rs
+++ b/src/front/platform/config.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use rustix::process::{Resource, getrlimit};
+
 use crate::core::Line;
 use crate::front::discovery::read_list;
 use crate::json::{JsonValue, field, number, text};
@@ -39,8 +41,10 @@
             u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is no hexadecimal number: {seed}"))?;
         let sockets = field(config, "limits").and_then(|l| number(l, "sockets")).unwrap_or(SOCKETS);
         let memory = field(config, "limits").and_then(|l| number(l, "memory_mb")).unwrap_or(MEMORY);
-        let budget = Budget::of((sockets as usize).saturating_sub(taken), memory)
-            .ok_or_else(|| format!("{sockets} sockets are too few"))?;
+        // What the system gives may be less than what was told.
+        let most = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |most| most as usize);
+        let budget = Budget::of((sockets as usize).min(most).saturating_sub(taken), memory)
+            .ok_or_else(|| format!("{} sockets are too few", sockets.min(most as f64)))?;
         let known = match field(config, "known") {
             Some(list) => read_list(list, &site).map(|(seq, lines, _)| (seq, lines))?,
             None => (0, Vec::new()),
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -51,6 +51,8 @@
     /// Whether requests may be started now, where a policy is shared.
     gate: Option<Box<Gate>>,
     stopping: Option<Leaving>,
+    /// Its last connections are being ended.
+    farewell: bool,
     /// Clients are sent away: `/up` says no, and connections are closed once they are idle.
     evacuating: bool,
     /// When to look next for connections that have become idle while clients are sent away.
@@ -71,6 +73,7 @@
             links: None,
             gate: None,
             stopping: None,
+            farewell: false,
             evacuating: false,
             away_look: f64::INFINITY,
         };
@@ -247,13 +250,17 @@
         self.stopping.is_some_and(|leaving| self.core.clock().now() >= leaving.last_call)
     }
 
-    /// Whether all that was taken is answered, and written as far as peers read.
+    /// Whether all that was taken is answered, written as far as peers read, and every connection ended as far as
+    /// peers end theirs.
     pub fn stopped(&mut self, net: &mut Sockets) -> bool {
-        let now = self.core.clock().now();
-        let idle = self.gate_next() == f64::INFINITY;
-        let Some(leaving) = self.stopping.as_mut().filter(|_| self.core.open() == 0 && idle) else {
+        if !self.closes() || self.core.open() > 0 || self.gate_next() < f64::INFINITY {
             return false;
-        };
-        leaving.is_over(now, || self.clients.all_written(net))
+        }
+        if !std::mem::replace(&mut self.farewell, true) {
+            self.close_all(net);
+            self.carry_out(net);
+        }
+        let now = self.core.clock().now();
+        self.stopping.as_mut().is_some_and(|leaving| leaving.is_over(now, || self.clients.all_ended()))
     }
 }
--- a/src/front/platform/probes.rs
+++ b/src/front/platform/probes.rs
@@ -12,7 +12,7 @@
     /// Probes a backend server. The module always hears of the end: it asks nobody twice meanwhile.
     pub(super) fn probe(&mut self, net: &mut Sockets, server: WorkerId) {
         let now = self.core.clock().now();
-        let Some(conn) = self.acquire(net, server, Work::Probe { asked: now, up: now }) else {
+        let Ok(conn) = self.acquire(net, server, Work::Probe { asked: now, up: now }) else {
             return self.core.probed(server, false, 0.0, Report::default());
         };
         self.ask_load(net, server, conn, now);
@@ -22,8 +22,8 @@
     pub(super) fn probe_anew(&mut self, net: &mut Sockets, server: WorkerId, asked: f64) {
         let now = self.core.clock().now();
         match self.open_backend(net, server, Work::Probe { asked, up: now }) {
-            Some(conn) => self.ask_load(net, server, conn, asked),
-            None => self.core.probed(server, false, now - asked, Report::default()),
+            Ok(conn) => self.ask_load(net, server, conn, asked),
+            Err(_) => self.core.probed(server, false, now - asked, Report::default()),
         }
     }
 
--- a/src/learned.rs
+++ b/src/learned.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Dispatcher;
-use crate::api::{Micros, WorkerId};
+use crate::api::{Job, Micros, WorkerId};
 use crate::state::{Kind, Pace};
 
 /// Most workers, kinds, zones and classes that are recalled: what is beyond cannot come of a real deployment.
@@ -69,6 +69,23 @@
 }
 
 impl Dispatcher {
+    /// Whether a worker is given no turns now: draining, off the list, or resting after failures.
+    pub fn avoids(&self, now: Micros, worker: WorkerId) -> bool {
+        self.index.get(&worker).is_none_or(|&i| !self.workers[i].ready || self.workers[i].rest > now)
+    }
+
+    /// The work that a job is, as far as can be told.
+    pub(crate) fn work(&self, job: &Job) -> f64 {
+        job.work.map_or(self.usual[job.class], |work| work as f64)
+    }
+
+    /// Time that a worker takes for a unit of work: as its kind does until its own runs say otherwise.
+    pub(crate) fn pace(&self, i: usize) -> f64 {
+        let w = &self.workers[i];
+        let kind = &self.kinds[usize::from(w.member.kind)];
+        w.pace.beside(kind.pace.beside(self.pace.beside(1.0, self.run), self.run * 2.0), self.run * 3.0)
+    }
+
     /// What it has learned so far.
     pub fn learned(&self) -> Learned {
         let workers = self.workers.iter().filter(|w| w.ready).take(MOST).map(|w| OfWorker {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -103,11 +103,6 @@
         self.rebuild();
     }
 
-    /// Whether a worker is given no turns now: draining, off the list, or resting after failures.
-    pub fn avoids(&self, now: Micros, worker: WorkerId) -> bool {
-        self.index.get(&worker).is_none_or(|&i| !self.workers[i].ready || self.workers[i].rest > now)
-    }
-
     /// Takes one event at time `now` and adds what follows from it to `out`.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
         match event {
@@ -155,9 +150,11 @@
     }
 
     /// Guards against calls of many dispatchers that come sooner than discovery works through them: they are
-    /// spread by how many there are, and a failed one waits half of its span at least.
+    /// spread by how many there are, and a failed one waits half of its span at least. The backoff is capped,
+    /// lest a change count as told that is not known here.
     fn call(&mut self, now: Micros, within: Micros) {
-        let span = if self.settings.many() { within.max(self.settings.call_span()) } else { within.max(1) };
+        let span = within.max(if self.settings.many() { self.settings.call_span() } else { 1 });
+        let span = span.min(self.settings.longest_backoff());
         let least = if self.settings.many() && self.call_failures > 0 { span / 2 } else { 0 };
         self.wakes.push(Reverse((now + self.rng.u64(least..=span), Wake::Subscribe)));
     }
@@ -366,7 +363,9 @@
             }
             steps += 1;
             let fresh = if many { HEARD } else { self.settings.quantum };
-            if looks && now > self.workers[i].read + fresh {
+            // A probe is a call too: one that warms up gets its turns alone.
+            let warm = self.warmth(now, &self.workers[i]) == 1.0;
+            if looks && warm && now > self.workers[i].read + fresh {
                 self.workers[i].asked = Some(id);
                 out.push(Action::Probe { worker: self.workers[i].member.worker });
                 break;
@@ -438,11 +437,6 @@
         if w.slowness > SLOW { past.max(self.run / places) * w.slowness } else { past }
     }
 
-    /// The work that a job is, as far as can be told.
-    fn work(&self, job: &Job) -> f64 {
-        job.work.map_or(self.usual[job.class], |work| work as f64)
-    }
-
     /// By when a job is wanted. Guards against hints in another unit: no machine is so unlike speed 1.
     fn aim(&self, p: &Pending) -> f64 {
         let class = &self.settings.classes[p.job.class];
@@ -451,13 +445,6 @@
         (p.came + class.aim) as f64 + stretch * self.work(&p.job)
     }
 
-    /// Time that a worker takes for a unit of work: as its kind does until its own runs say otherwise.
-    fn pace(&self, i: usize) -> f64 {
-        let w = &self.workers[i];
-        let kind = &self.kinds[usize::from(w.member.kind)];
-        w.pace.beside(kind.pace.beside(self.pace.beside(1.0, self.run), self.run * 2.0), self.run * 3.0)
-    }
-
     /// How long own attempts at a worker keep a job waiting that is sent now: they take its slots in order.
     fn own_wait(&self, now: Micros, i: usize) -> (f64, f64) {
         let (w, pace) = (&self.workers[i], self.pace(i));
@@ -544,10 +531,22 @@
         let w = &self.workers[i];
         let kind = self.cycles[p.cycle].kind;
         let left = p.attempts.iter().any(|a| a.left && a.worker == i);
-        if left || kind.is_some_and(|kind| kind != w.member.kind) {
-            return false;
-        }
-        let Some(first) = p.may_have_run() else { return true };
+        !left && kind.is_none_or(|kind| kind == w.member.kind) && self.repeats(now, p, p.attempts.len(), w)
+    }
+
+    /// Whether an attempt stands now that its connection is up: until its first byte is written it can be
+    /// taken back, and then it never ran.
+    pub fn stands(&self, now: Micros, id: JobId, attempt: usize) -> bool {
+        let in_time = |p: &&Pending| now + self.settings.quantum < p.job.due;
+        let Some(p) = self.jobs.get(&id).filter(in_time) else { return false };
+        let Some(a) = p.attempts.get(attempt).filter(|a| a.out) else { return false };
+        let w = &self.workers[a.worker];
+        w.ready && w.member.born == a.born && self.repeats(now, p, attempt, w)
+    }
+
+    /// Whether a job may run at a worker after so many of its attempts.
+    fn repeats(&self, now: Micros, p: &Pending, after: usize, w: &Worker) -> bool {
+        let Some(first) = p.attempts[..after].iter().find(|a| !a.never_ran) else { return true };
         match self.settings.classes[p.job.class].repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
@@ -577,7 +576,7 @@
             self.wakes.push(Reverse((now + patience, Wake::Unheard(id, p.attempts.len()))));
         }
         let (w, attempt) = (&mut self.workers[i], p.attempts.len());
-        p.attempts.push(Attempt { worker: i, sent: now, out: true, free, ..Attempt::default() });
+        p.attempts.push(Attempt::new(i, now, w.member.born, free));
         w.out.push(Out { job: id, attempt, sent: now, since: None, work, expected });
         w.waiting += 1.0;
         w.drift += p.job.slots.max(1.0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,8 +39,10 @@
     pub conn_idle: f64,
     /// Time within which a connection must come up, in milliseconds.
     pub connect_timeout: f64,
-    /// Longest advice when to come back, in milliseconds.
+    /// Longest advice when to come back, in milliseconds; 0 where none may be given.
     pub max_retry_after: f64,
+    /// Two attempts of a request may be out together.
+    pub copies: bool,
     fields: Vec<(String, Field)>,
 }
 
@@ -56,6 +58,7 @@
             conn_idle: 15_000.0,
             connect_timeout: 250.0,
             max_retry_after: 2_000.0,
+            copies: true,
             fields: Vec::new(),
         }
     }
@@ -98,6 +101,7 @@
         let fields: Vec<(String, Field)> = fields.collect();
         // Whether a queue can be seen is all that a report is read for.
         let reports = text(report, "how") != Some("off") && fields.iter().any(|f| f.1 != Field::Other);
+        let advises = field(caps, "retryAfter").and_then(|v| v.get::<bool>()) != Some(&false);
         let micros = |value: &JsonValue, name| number(value, name).unwrap_or(0.0).max(0.0) as Micros;
         let settings = Settings {
             number: need(facts, "myNumber")? as u32,
@@ -134,7 +138,8 @@
                 .collect(),
             conn_idle: number(caps, "connIdle").unwrap_or(15e6) / 1e3,
             connect_timeout: number(caps, "connectTimeout").unwrap_or(250e3) / 1e3,
-            max_retry_after: number(caps, "maxRetryAfter").unwrap_or(0.0) / 1e3,
+            max_retry_after: if advises { number(caps, "maxRetryAfter").unwrap_or(0.0) / 1e3 } else { 0.0 },
+            copies: flag(caps, "mayDuplicate"),
             fields,
         })
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,8 @@
 pub struct Attempt {
     pub worker: usize,
     pub sent: Micros,
+    /// When its worker had last started as it was decided.
+    pub born: Micros,
     pub out: bool,
     /// It met a free slot.
     pub free: bool,
@@ -175,6 +177,13 @@
     pub left: bool,
 }
 
+impl Attempt {
+    /// One that is decided now.
+    pub fn new(worker: usize, sent: Micros, born: Micros, free: bool) -> Attempt {
+        Attempt { worker, sent, born, free, out: true, ..Attempt::default() }
+    }
+}
+
 #[derive(Default)]
 pub struct Pending {
     pub job: Job,
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,533 @@
+//! Stories of two events that cross: the program over loopback among scripted peers that hold, cut, reset and let go at a
+//! signal of the test, so that the bad order happens every time. `docs/design/crossings.md` lists them with both orders.
+
+#[path = "common/crossing.rs"]
+mod crossing;
+#[path = "common/net.rs"]
+mod net;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use crossing::*;
+use net::*;
+
+/// Settings in which a connection may take long to come up, so that there is time for something to cross it.
+fn patient(discovery: SocketAddr, hosts: &[(&str, SocketAddr)]) -> String {
+    config(256, discovery, hosts).replace(r#""connectTimeout": 250000"#, r#""connectTimeout": 8000000"#)
+}
+
+fn start(text: &str) -> (Program, SocketAddr) {
+    let mut program = Program::start(Some(text), None);
+    let address = program.address();
+    (program, address)
+}
+
+/// Takes a job and tells of its end on other connections.
+fn serve(job: &mut Http, address: SocketAddr, id: &str, from: &str) {
+    job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    Http::connect(address).call_back(id, from, "done", "ok");
+}
+
+// Clients that have gone.
+
+/// A client's end behind more than is held for it. Guards against a job that is sent on and on for nobody.
+#[test]
+fn a_client_s_end_behind_a_flood_is_seen() {
+    let (worker, dial) = listener();
+    let (_program, address) = platform(nobody(), &[("s-1", dial)]);
+    let mut client = Http::connect(address);
+    client.submit("avail-search", "g1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    // Three times what a connection holds, then the end. What is written to a peer that reads it goes out at once.
+    client.write(&"x".repeat(300 * 1024));
+    drop(client);
+    until(|| counter(address, "left") == 1, "its end is not seen");
+    assert_eq!(job.read().0, "", "the job that nobody waits for is not called off");
+}
+
+/// Half of a job's flood is a client's that stays: it gets its answer, and its connection is not used again.
+#[test]
+fn a_client_that_floods_and_stays_has_its_answer_and_a_close() {
+    let (worker, dial) = listener();
+    let (_program, address) = platform(nobody(), &[("s-1", dial)]);
+    let mut client = Http::connect(address);
+    client.submit("avail-search", "g2");
+    let mut job = Http::accept(&worker);
+    job.read();
+    client.write(&"x".repeat(300 * 1024));
+    serve(&mut job, address, "g2", "s-1");
+    let (head, body) = client.read();
+    assert!(head.starts_with("HTTP/1.1 200") && body == "ok", "{head}");
+    assert_eq!(value(&head, "connection").as_deref(), Some("close"));
+    assert_eq!(client.read().0, "");
+}
+
+/// An attempt fails and its client's end waits in the same turn of the loop, behind it. Guards against a further attempt
+/// for a client that has gone.
+#[test]
+fn no_further_attempt_begins_for_a_client_whose_end_came_in_the_same_turn() {
+    let ((one, dial_one), (two, dial_two)) = (listener(), listener());
+    let (program, address) = platform(nobody(), &[("s-1", dial_one), ("s-2", dial_two)]);
+    let mut client = Http::connect(address);
+    client.submit("avail-search", "t1");
+    let mut job = Http::over(accept_any(&[&one, &two]));
+    job.read();
+    freeze(&program);
+    reset(job);
+    drop(client);
+    thaw(&program);
+    until(|| counter(address, "left") == 1, "its end is not seen");
+    for listener in [&one, &two] {
+        assert_nothing_came(listener, "an attempt began after its client had gone");
+    }
+}
+
+/// A client goes while the connection for its job comes up. Guards against bytes that are queued for a connection and go
+/// out as it comes up.
+#[test]
+fn a_client_that_goes_while_a_connection_comes_up_has_nothing_sent() {
+    let full = Full::new();
+    let (_program, address) = start(&patient(nobody(), &[("s-1", full.address)]));
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "c1");
+    until(|| counter(address, "sent") == 1, "no attempt was decided");
+    drop(client);
+    until(|| counter(address, "left") == 1, "its end is not seen");
+    let listener = full.open();
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "c2");
+    let (head, _) = Http::over(accept_request(&listener)).read();
+    assert_eq!(value(&head, "req-id").as_deref(), Some("c2"), "it went out for a client that had gone");
+}
+
+// Decided, not yet written.
+
+/// A server begins to drain while the connection for a job comes up. Guards against a send whose first byte goes out long
+/// after the drain was told.
+#[test]
+fn a_job_decided_for_a_server_that_drains_meanwhile_goes_elsewhere() {
+    let ((discovery, at), full, (other, dial)) = (listener(), Full::new(), listener());
+    let (_program, address) = start(&patient(at, &[("s-1", full.address)]));
+    let mut watch = Http::accept(&discovery);
+    watch.read();
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "d1");
+    until(|| counter(address, "sent") == 1, "no attempt was decided");
+    tells(
+        &mut watch,
+        8,
+        &[&host("s-1", full.address, "draining"), &host("s-2", dial, "up")].map(String::as_str),
+    );
+    watch.read();
+    assert_no_request(&full.open(), "a draining server was sent a job");
+    let mut job = Http::accept(&other);
+    job.read();
+    serve(&mut job, address, "d1", "s-2");
+    assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    assert_eq!((counter(address, "never_ran"), counter(address, "may_have_run")), (1, 0));
+}
+
+/// A server is started anew at the same address while the connection for a job comes up: it is cold, and what was decided
+/// for the one before it is decided again.
+#[test]
+fn a_job_decided_for_a_server_that_is_started_anew_meanwhile_is_decided_again() {
+    let ((discovery, at), full) = (listener(), Full::new());
+    let (_program, address) = start(&patient(at, &[("s-1", full.address)]));
+    let mut watch = Http::accept(&discovery);
+    watch.read();
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "b1");
+    until(|| counter(address, "sent") == 1, "no attempt was decided");
+    let anew =
+        host("s-1", full.address, "up").replace(r#""born_ms": 0"#, &format!(r#""born_ms": {}"#, unix_ms()));
+    tells(&mut watch, 8, &[anew.as_str()]);
+    watch.read();
+    let listener = full.open();
+    until(|| counter(address, "never_ran") >= 1, "it was written to the one that was started anew");
+    drop((listener, client));
+}
+
+/// The time in which a keyed job may be repeated ends while the connection for its repeat comes up. Guards against a
+/// repeat that its servers no longer know for one.
+#[test]
+fn a_repeat_whose_time_ends_while_its_connection_comes_up_is_not_written() {
+    let ((one, dial), full) = (listener(), Full::new());
+    let keyed = r#"{"name": "avail-search", "aim": 4000000, "hardLimit": 9000000, "semantics": "dedup",
+        "keyScope": "all", "window": 400000}"#;
+    let text = patient(nobody(), &[("s-1", dial), ("s-2", full.address)]).replace(
+        r#"{"name": "avail-search", "aim": 4000000, "hardLimit": 5000000, "semantics": "retryable"}"#,
+        keyed,
+    );
+    assert!(text.contains("dedup"));
+    let (_program, address) = start(&text);
+    // Whichever is first in the cycle: two jobs meet both servers.
+    let mut clients: Vec<Http> = Vec::new();
+    for id in ["w1", "w2"] {
+        let mut client = Http::connect(address);
+        client.submit("avail-search", id);
+        clients.push(client);
+    }
+    let mut job = Http::accept(&one);
+    job.read();
+    reset(job);
+    // The reset one is decided for the other server, whose connection comes up when its time is over.
+    until(|| counter(address, "sent") >= 3, "no repeat was decided");
+    let began = Instant::now();
+    until(|| began.elapsed() > Duration::from_millis(500), "");
+    let listener = full.open();
+    // One of the two was decided for it first, and stands; the repeat does not.
+    let mut came = Http::accept(&listener);
+    came.read();
+    until(|| counter(address, "never_ran") == 1, "the repeat was written after its time");
+    drop(clients);
+}
+
+/// Where no two attempts of a job may be out together: the call that gives the first up is still unwritten as the next
+/// connection is whole. Guards against two copies at once.
+#[test]
+fn the_next_attempt_waits_until_the_one_before_it_is_given_up() {
+    let (full, (two, dial_two)) = (Full::closed(), listener());
+    let text = patient(nobody(), &[("s-1", full.address), ("s-2", dial_two)])
+        .replace(r#""mayCancel": true"#, r#""mayCancel": true, "mayDuplicate": false"#)
+        .replace(
+            r#""aim": 4000000, "hardLimit": 5000000, "semantics": "retryable""#,
+            r#""aim": 2000000, "hardLimit": 9000000, "semantics": "retryable""#,
+        );
+    let (_program, address) = start(&text);
+    let mut client = Http::connect(address);
+    client.submit("avail-search", "x1");
+    let mut job = Http::over(accept_any(&[&full.listener, &two]));
+    job.read();
+    if job.0.get_ref().local_addr().unwrap() != full.address {
+        // It was the other's turn: the next job is the one.
+        serve(&mut job, address, "x1", "s-2");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+        client.submit("avail-search", "x2");
+        job = Http::accept(&full.listener);
+        job.read();
+    }
+    let sent = counter(address, "sent");
+    full.fill();
+    job.write("HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    until(|| counter(address, "sent") == sent + 1, "it was not given up");
+    let next = accept_any(&[&two]);
+    next.set_nonblocking(true).unwrap();
+    assert!(next.peek(&mut [0]).is_err(), "a second copy went out beside the first");
+    next.set_nonblocking(false).unwrap();
+    let mut delete = Http::over(accept_request(&full.open()));
+    let (head, _) = delete.read();
+    assert!(head.starts_with("DELETE /jobs/x"), "{head:?}");
+    let (head, _) = Http::over(next).read();
+    assert!(head.starts_with("POST /avail-search"), "{head}");
+}
+
+// Connections to servers.
+
+/// A second copy of the answer that turned a job away comes as the connection could be used again. Guards against a job
+/// that is held never to have run by another's answer, and runs twice.
+#[test]
+fn a_second_copy_of_a_refusal_is_not_the_next_job_s_answer() {
+    let (worker, dial) = listener();
+    let (program, address) = platform(nobody(), &[("s-1", dial)]);
+    let (mut first, mut client) = (Http::connect(address), Http::connect(address));
+    first.submit("confirm-booking", "r0");
+    let mut conn = Http::accept(&worker);
+    conn.read();
+    conn.take();
+    let mut calls = Http::connect(address);
+    // Once this is acknowledged the 202 before it has been read.
+    calls.call_back("r0", "s-1", "started", "");
+    client.submit("confirm-booking", "r1");
+    let (head, _) = conn.read();
+    assert_eq!(value(&head, "req-id").as_deref(), Some("r1"), "it comes on the same connection: {head}");
+    // In one turn: the refusal, and the end of the other job, whose report says that there is room.
+    freeze(&program);
+    let refusal = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    conn.write(refusal);
+    let done = r#"{"id":"r0","from":"s-1","state":"done","result":"ok","load":{"queue":0,"x0":5}}"#;
+    calls.write(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{done}", done.len()));
+    thaw(&program);
+    assert!(first.read().0.starts_with("HTTP/1.1 200"));
+    // It is sent again at once, on a connection that has said nothing yet.
+    let mut again = Http::accept(&worker);
+    let (head, _) = again.read();
+    assert_eq!(value(&head, "req-id").as_deref(), Some("r1"), "{head}");
+    conn.write(refusal);
+    assert_eq!(conn.read().0, "", "bytes that nobody asked for end it");
+    serve(&mut again, address, "r1", "s-1");
+    assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    assert_eq!((counter(address, "sent"), counter(address, "never_ran")), (3, 1));
+}
+
+/// All connections to servers are in use, by those that hang. Guards against healthy servers that are held to have
+/// failed as this process has no connection left.
+#[test]
+fn with_no_connection_left_a_job_is_refused_and_no_server_is_held_to_have_failed() {
+    let servers: Vec<_> = (0..6).map(|_| listener()).collect();
+    let doors: Vec<&TcpListener> = servers.iter().map(|(door, _)| door).collect();
+    let names: Vec<String> = (0..6).map(|at| format!("s-{at}")).collect();
+    let hosts: Vec<_> = names.iter().map(String::as_str).zip(servers.iter().map(|(_, dial)| *dial)).collect();
+    // 64 descriptors: four connections to servers.
+    let text =
+        config(64, nobody(), &hosts).replace(r#""name": "n0""#, r#""name": "n0", "console": "127.0.0.1:0""#);
+    let mut program = Program::start(Some(&text), None);
+    let (address, console) = (program.address(), program.address());
+    let mut held = Vec::new();
+    for at in 0..4 {
+        let mut client = Http::connect(address);
+        client.submit("confirm-booking", &format!("m{at}"));
+        let mut job = Http::over(accept_any(&doors));
+        job.read();
+        held.push((client, job));
+    }
+    let mut late = Http::connect(address);
+    late.submit("confirm-booking", "m9");
+    assert!(late.read().0.starts_with("HTTP/1.1 503"), "nothing of it was sent");
+    let mut figures = String::new();
+    let mut line = std::net::TcpStream::connect(console).unwrap();
+    line.write_all(b"telemetry\n").unwrap();
+    line.read_to_string(&mut figures).unwrap();
+    assert!(figures.contains("lb_members_unavailable 0\n"), "{figures}");
+}
+
+/// A refusal without a length is cut off by a reset. Guards against half an answer that counts as a whole one, and a job
+/// that runs twice as it is held never to have run.
+#[test]
+fn an_answer_that_a_reset_cuts_off_is_no_answer() {
+    let ((one, dial_one), (two, dial_two)) = (listener(), listener());
+    let (program, address) = platform(nobody(), &[("s-1", dial_one), ("s-2", dial_two)]);
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "k1");
+    let mut job = Http::over(accept_any(&[&one, &two]));
+    job.read();
+    freeze(&program);
+    job.write("HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\n\r\nas it see");
+    reset(job);
+    thaw(&program);
+    assert!(client.read().0.starts_with("HTTP/1.1 500"), "it may have run");
+    assert_eq!((counter(address, "sent"), counter(address, "may_have_run")), (1, 1));
+}
+
+// The list.
+
+/// A list without a length that a reset cuts off, which reads well as far as it came. Guards against servers that are
+/// taken for gone.
+#[test]
+fn a_list_that_a_reset_cuts_off_is_not_taken() {
+    let ((discovery, at), (_worker, dial)) = (listener(), listener());
+    let (program, _) = platform(at, &[("s-1", dial)]);
+    let mut watch = Http::accept(&discovery);
+    watch.read();
+    freeze(&program);
+    watch.write("HTTP/1.1 200 OK\r\n\r\n{\"seq\": 99, \"whole\": true, \"hosts\": []}");
+    reset(watch);
+    thaw(&program);
+    let (head, _) = Http::accept(&discovery).read();
+    assert!(head.contains("since=7&"), "{head}");
+}
+
+/// A late copy of the service tells an older version. Guards against a drain that is forgotten again.
+#[test]
+fn an_older_version_is_passed_over_and_asked_for_whole_when_it_comes_again() {
+    let ((discovery, at), (_worker, dial)) = (listener(), listener());
+    let (_program, _address) = platform(at, &[("s-1", dial)]);
+    let mut watch = Http::accept(&discovery);
+    watch.read();
+    tells(&mut watch, 9, &[&host("s-1", dial, "draining")]);
+    assert!(watch.read().0.contains("since=9&"));
+    tells(&mut watch, 8, &[&host("s-1", dial, "up")]);
+    let mut again = Http::accept(&discovery);
+    let (head, _) = again.read();
+    assert!(head.contains("since=9&"), "{head}");
+    tells(&mut again, 8, &[&host("s-1", dial, "up")]);
+    let (head, _) = Http::accept(&discovery).read();
+    assert!(head.starts_with("GET /discovery/hosts HTTP"), "it counts anew: {head}");
+}
+
+/// A call on a kept connection crosses its closing. Guards against a pause as after a failure, with no watch open.
+#[test]
+fn a_call_that_crosses_the_closing_of_its_connection_is_made_again_at_once() {
+    let ((discovery, at), (_worker, dial)) = (listener(), listener());
+    let text =
+        config(256, at, &[("s-1", dial)]).replace(r#""askWithin": 4000000"#, r#""askWithin": 40000000"#);
+    let (_program, _) = start(&text);
+    let mut watch = Http::accept(&discovery);
+    watch.read();
+    tells(&mut watch, 8, &[]);
+    // The next call is written, and the end is its only answer.
+    assert!(watch.read().0.contains("since=8&"));
+    let began = Instant::now();
+    drop(watch);
+    let (head, _) = Http::accept(&discovery).read();
+    assert!(
+        head.contains("since=8&") && began.elapsed() < Duration::from_millis(900),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+/// The old service answers in the turn in which SIGHUP names another. Guards against versions of two services that are
+/// compared with one another, and against an answer of the old one that ends the new one's call.
+#[test]
+fn an_answer_of_the_old_service_does_not_cross_the_change_to_a_new_one() {
+    let ((old, old_at), (new, new_at), (_worker, dial)) = (listener(), listener(), listener());
+    let text = config(256, old_at, &[("s-1", dial)]);
+    let (mut program, address) = start(&text);
+    let mut watch = Http::accept(&old);
+    watch.read();
+    freeze(&program);
+    std::fs::write(
+        program.files[0].as_ref().unwrap(),
+        text.replace(&old_at.to_string(), &new_at.to_string()),
+    )
+    .unwrap();
+    program.signal("HUP");
+    tells(&mut watch, 70, &[]);
+    thaw(&program);
+    assert_eq!(program.line(), "micabeam: the configuration was read again\n");
+    let mut next = Http::accept(&new);
+    assert!(next.read().0.starts_with("GET /discovery/hosts HTTP"), "the whole list is asked for");
+    tells(&mut next, 3, &[&host("s-1", dial, "up")]);
+    assert!(next.read().0.contains("since=3&"));
+    assert!(counter(address, "lists") <= 2);
+}
+
+// Shutdown.
+
+/// More connections wait in the backlog than are accepted in a turn as the last job ends. Guards against an exit that
+/// resets requests that the machine has taken.
+#[test]
+fn what_waits_in_the_backlog_at_the_exit_is_answered() {
+    let (worker, dial) = listener();
+    let (program, address) = platform_with(512, nobody(), &[("s-1", dial)]);
+    let (mut client, mut idle) = (Http::connect(address), Http::connect(address));
+    client.submit("confirm-booking", "e1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    job.take();
+    let mut calls = Http::connect(address);
+    calls.call_back("e1", "s-1", "started", "");
+    idle.write("GET /up HTTP/1.1\r\n\r\n");
+    idle.read();
+    program.signal("TERM");
+    assert_eq!(idle.read().0, "", "past the last call idle connections end");
+    freeze(&program);
+    let done = r#"{"id":"e1","from":"s-1","state":"done","result":"ok"}"#;
+    calls.write(&format!("POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{done}", done.len()));
+    let mut crowd: Vec<Http> = (0..150).map(|_| Http::connect(address)).collect();
+    for (at, one) in crowd.iter_mut().enumerate() {
+        one.submit("confirm-booking", &format!("f{at}"));
+    }
+    thaw(&program);
+    assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    for (at, one) in crowd.iter_mut().enumerate() {
+        let (head, _) = one.read();
+        assert!(head.starts_with("HTTP/1.1 503"), "{at} of 150 got {head:?}");
+    }
+    drop((crowd, client, calls, idle));
+    let (well, log) = program.wait();
+    assert!(well, "{log}");
+    all_ended(&log);
+}
+
+/// A request crosses the closing of a resting connection at a stop. Guards against a reset, which would take an answer
+/// under way with it, and against a request that is read after the closing and sent on.
+#[test]
+fn a_request_that_crosses_the_closing_of_its_connection_is_neither_sent_on_nor_reset() {
+    let (worker, dial) = listener();
+    let (program, address) = platform(nobody(), &[("s-1", dial)]);
+    let (mut client, mut resting) = (Http::connect(address), Http::connect(address));
+    client.submit("confirm-booking", "q1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    job.take();
+    resting.write("GET /up HTTP/1.1\r\n\r\n");
+    resting.read();
+    program.signal("TERM");
+    let mut end = [0; 1];
+    assert_eq!(resting.0.get_mut().read(&mut end).unwrap(), 0, "the resting connection is shut");
+    resting.submit("confirm-booking", "q2");
+    Http::connect(address).call_back("q1", "s-1", "done", "ok");
+    assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    assert_nothing_came(&worker, "a request read after the shutdown was sent on");
+    // Its end is an end, and no reset: what it had been sent could have been lost with that.
+    assert!(resting.0.get_ref().take_error().unwrap().is_none(), "it was reset");
+    drop((client, resting));
+    let (well, log) = program.wait();
+    assert!(well && told(&log, "sent") == 1, "{log}");
+}
+
+/// Signals that cross: SIGTERM twice, SIGHUP between them, in one turn of the loop, with a job in flight.
+#[test]
+fn signals_that_come_together_end_it_once_and_lose_nothing() {
+    let (worker, dial) = listener();
+    let (mut program, address) = platform(nobody(), &[("s-1", dial)]);
+    let mut client = Http::connect(address);
+    client.submit("confirm-booking", "s1");
+    let mut job = Http::accept(&worker);
+    job.read();
+    job.take();
+    freeze(&program);
+    for name in ["TERM", "HUP", "TERM"] {
+        program.signal(name);
+    }
+    thaw(&program);
+    let said = [program.line(), program.line()];
+    assert!(
+        said.iter().any(|line| line.contains("stopping"))
+            && said.iter().any(|line| line.contains("read again"))
+    );
+    program.signal("TERM");
+    Http::connect(address).call_back("s1", "s-1", "done", "ok");
+    assert!(client.read().0.starts_with("HTTP/1.1 200"));
+    drop(client);
+    let (well, log) = program.wait();
+    assert!(well, "{log}");
+}
+
+// Descriptors.
+
+/// Idle clients fill the descriptors while discovery is down. Guards against a program that has none left for discovery,
+/// call-backs, servers or the front's question, one that spins, and one that is not ready after a restart.
+#[test]
+fn idle_clients_may_fill_the_descriptors_while_discovery_is_down() {
+    let (worker, dial) = listener();
+    // Bound and not listening: it is down, and comes back at the same address.
+    let down = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    down.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let at = down.local_addr().unwrap().as_socket().unwrap();
+    let text = config(128, at, &[("s-1", dial)]);
+    for id in ["o1", "o2"] {
+        let began = Instant::now();
+        let mut program = bounded(128, &text);
+        let address = program.address();
+        let crowd: Vec<Http> = (0..300).map(|_| Http::connect(address)).collect();
+        let mut up = Http::connect(address);
+        up.write("GET /up HTTP/1.1\r\n\r\n");
+        assert!(up.read().0.starts_with("HTTP/1.1 200"));
+        assert!(began.elapsed() < Duration::from_secs(10), "ready after {:?}", began.elapsed());
+        let mut client = Http::connect(address);
+        client.submit("confirm-booking", id);
+        let mut job = Http::accept(&worker);
+        job.read();
+        serve(&mut job, address, id, "s-1");
+        assert!(client.read().0.starts_with("HTTP/1.1 200"));
+        // At rest it does not spin: a turn of the loop for each sweep, and no more.
+        let (spent, since) = (cpu_ticks(&program), Instant::now());
+        until(|| since.elapsed() > Duration::from_millis(700), "");
+        let ticks = cpu_ticks(&program) - spent;
+        assert!(ticks < 20, "{ticks} hundredths of a second of 70");
+        if id == "o2" {
+            // It is back, and is asked in good time, whatever the crowd.
+            down.listen(16).unwrap();
+            let listener = TcpListener::from(down.try_clone().unwrap());
+            let since = Instant::now();
+            Http::accept(&listener).read();
+            assert!(since.elapsed() < Duration::from_secs(6), "{:?}", since.elapsed());
+        }
+        drop((crowd, program));
+    }
+}
