Where no copies may be out, the next attempt waits for the answer that the first is given up

A DELETE counted as given up once it was written, also on a kept connection to a server that is cut off; and before a 202 the close alone counted, though that 202 may have been lost on its way. Ruled out: a reset, which ends an attempt.

--- a/src/front/platform/backends.rs
+++ b/src/front/platform/backends.rs
@@ -20,7 +20,7 @@
 /// How long a connection rests on which a job was turned away, in milliseconds. A second copy of such an answer, some
 /// milliseconds late, would say of the next job that it never ran.
 const REST: f64 = 50.0;
-/// How often an attempt is given up anew whose `DELETE` could not be written.
+/// How often an attempt is given up anew whose `DELETE` had no answer.
 const GIVES_UP: u32 = 3;
 
 /// A dispatch: its session and its number.
@@ -40,7 +40,7 @@
     },
     /// An answer that nobody needs.
     Spent,
-    /// The call that gives an attempt up, until it is written.
+    /// The call that gives an attempt up, until it is answered: written alone, it may go to nobody.
     GivesUp(FlightId),
     /// It has turned a job away just now.
     Rests,
@@ -189,7 +189,7 @@
             return;
         }
         let Some(Flight { server, address, .. }) = self.backends.flights.get(&flight) else { return };
-        let (server, host) = (*server, self.host(*server));
+        let host = self.host(*server);
         let stands = host == *address && self.core.stands(session, attempt);
         let given_up = if self.core.site().copies { Some(true) } else { self.backends.gave_up(session) };
         // A connection that has ended says of a server that took it just now that it fails.
@@ -220,7 +220,6 @@
         if let Some(backend) = self.backends.conns.get_mut(&conn) {
             (backend.work, backend.until, backend.up) = (Work::Dispatch(flight), f64::INFINITY, true);
         }
-        debug_assert_eq!(self.backends.flights.get(&flight).map(|f| f.server), Some(server));
         net.write(conn, &bytes);
         self.backend_ready(net, conn);
     }
@@ -228,14 +227,19 @@
     /// Calls a dispatch off: before the job was taken by closing the connection, after that by a DELETE.
     pub(super) fn cancel(&mut self, net: &mut Sockets, session: SessionId, attempt: usize) {
         let Some(flight) = self.backends.flights.remove(&(session, attempt)) else { return };
-        if let Some(conn) = flight.conn {
-            return self.close_backend(net, conn);
-        }
         // While the session goes on its next attempt waits where no two may be out together.
         let waits = !self.core.site().copies && self.jobs.contains_key(&session);
+        if let Some(conn) = flight.conn {
+            let work = self.backends.conns.get(&conn).map(|b| b.work);
+            self.close_backend(net, conn);
+            // A 202 that was lost on its way is one for the server: then the close gives nothing up.
+            if !(waits && matches!(work, Some(Work::Dispatch(_)))) {
+                return;
+            }
+        }
         let (server, id) = (flight.server, Rc::clone(&flight.id));
         if waits {
-            let flight = Flight { leaves: Some(0), ..flight };
+            let flight = Flight { leaves: Some(0), conn: None, ..flight };
             self.backends.flights.insert((session, attempt), flight);
         }
         self.give_up(net, (session, attempt), server, &id);
@@ -247,14 +251,14 @@
             return self.not_given_up(net, flight);
         };
         if net.conn(conn).is_some_and(|c| !c.connecting) {
-            self.backends.until(conn, now + SPARE);
+            self.backends.until(conn, now + PATIENCE);
         }
         let host = [("Host", self.host(server))];
         net.write(conn, &http::ask("DELETE", &format!("/jobs/{id}"), &host, None));
         self.backend_ready(net, conn);
     }
 
-    /// A `DELETE` could not be written: it is tried again where the next attempt waits for it.
+    /// A `DELETE` had no answer: it may not have come, and is made again where the next attempt waits for it.
     fn not_given_up(&mut self, net: &mut Sockets, flight: FlightId) {
         let Some(leaving) = self.backends.flights.get_mut(&flight) else { return };
         let Some(tries) = &mut leaving.leaves else { return };
@@ -308,7 +312,8 @@
         if !backend.up && !conn.connecting && !conn.broken {
             backend.up = true;
             match &mut backend.work {
-                Work::Spent | Work::GivesUp(_) => backend.until = now + SPARE,
+                Work::Spent => backend.until = now + SPARE,
+                Work::GivesUp(_) => backend.until = now + PATIENCE,
                 Work::Probe { up, .. } => *up = now,
                 Work::Idle | Work::Rests | Work::Decided(_) | Work::Dispatch(_) => {}
             }
@@ -323,13 +328,6 @@
             // An attempt counts once its last byte has gone to the socket.
             self.core.written_whole(session, attempt);
         }
-        let given_up = match work {
-            Work::GivesUp(flight) if written => {
-                backend.work = Work::Spent;
-                Some(flight)
-            }
-            _ => None,
-        };
         match message {
             Ok(Some(message)) if !matches!(work, Work::Idle | Work::Rests) => {
                 let reusable = !(ended || stray || message.close) && written;
@@ -341,18 +339,15 @@
                 } else if !declined {
                     self.backends.pool.put(server, id, now);
                 }
-                self.answered(server, work, &message);
+                match work {
+                    Work::GivesUp(flight) => self.given_up(net, flight),
+                    _ => self.answered(server, work, &message),
+                }
             }
             Ok(None) if !ended => {}
             // An end, bytes that nobody asked for, or an answer that does not read.
             _ => self.broke(net, id, written),
         }
-        if let Some(flight) = given_up
-            && self.backends.flights.get(&flight).is_some_and(|f| f.leaves.is_some())
-        {
-            self.backends.flights.remove(&flight);
-            self.resume(net, flight.0);
-        }
     }
 
     fn answered(&mut self, server: WorkerId, work: Work, message: &Message) {
@@ -379,6 +374,14 @@
         }
     }
 
+    /// A server has answered that an attempt is given up: what waited for that goes on.
+    fn given_up(&mut self, net: &mut Sockets, flight: FlightId) {
+        if self.backends.flights.get(&flight).is_some_and(|f| f.leaves.is_some()) {
+            self.backends.flights.remove(&flight);
+            self.resume(net, flight.0);
+        }
+    }
+
     /// A connection broke. By what was written: a dispatch whose last byte was not never ran.
     fn broke(&mut self, net: &mut Sockets, id: ConnId, written: bool) {
         let Some(backend) = self.backends.conns.get(&id) else { return };
@@ -386,7 +389,7 @@
         self.close_backend(net, id);
         match work {
             Work::Decided(flight) => self.unserved(flight, Outcome::Unreachable, Report::default()),
-            Work::GivesUp(flight) if !written => self.not_given_up(net, flight),
+            Work::GivesUp(flight) => self.not_given_up(net, flight),
             Work::Dispatch(flight) => {
                 let outcome = if written { Outcome::Reset } else { Outcome::Unreachable };
                 self.unserved(flight, outcome, Report::default());
@@ -401,7 +404,7 @@
                 let latency = self.core.clock().now() - asked;
                 self.core.probed(server, false, latency, Report::default());
             }
-            Work::Idle | Work::Rests | Work::Spent | Work::GivesUp(_) => {}
+            Work::Idle | Work::Rests | Work::Spent => {}
         }
     }
 
--- a/src/front/platform/clients.rs
+++ b/src/front/platform/clients.rs
@@ -474,7 +474,9 @@
     fn forget(&mut self, session: SessionId) -> Option<Job> {
         let job = self.jobs.remove(&session)?;
         self.ids.remove(&job.id);
-        self.backends.forget(session);
+        if !self.core.site().copies {
+            self.backends.forget(session);
+        }
         Some(job)
     }
 
