Consensus and rollout: replies to an earlier process of a member count for nothing

Cause: heartbeat rounds and lease requests were numbered from 0 in each process, and a reply names the number alone. Change: both number from a value that is drawn from the incarnation of the process; the library keeps its own numbers.

--- a/src/consensus/heartbeat.rs
+++ b/src/consensus/heartbeat.rs
@@ -6,6 +6,10 @@
 //! majority named it. A voter that has promised to follow a later leader names no earlier one any more, so that each such
 //! round began before the later leader had its majority of promises, and before some voter of that majority last named
 //! the earlier leader.
+//!
+//! The library counts rounds from 0 in each process, and a reply says which round it answers and not which process asked. On
+//! the wire rounds therefore count from a number that each process draws: a late reply to an earlier process of this voter
+//! answers none of its rounds.
 
 use std::collections::BTreeSet;
 
@@ -33,7 +37,9 @@
 pub(super) struct HeartbeatRounds {
     voter_id: VoterId,
     voter_count: u64,
-    /// The library's number of the current round.
+    /// What is added to the library's numbers of rounds on the wire.
+    round_offset: u32,
+    /// The number on the wire of the current round.
     round: u32,
     /// When the current round's requests were made.
     round_started_ms: f64,
@@ -72,11 +78,19 @@
 
 impl HeartbeatRounds {
     /// The rounds of a voter that has just started: it does not know what it named before, and assumes just now.
-    pub(super) fn new(voter_id: VoterId, voter_count: u64, now_ms: f64) -> HeartbeatRounds {
+    /// `process_nonce` differs from that of its earlier processes.
+    pub(super) fn new(
+        voter_id: VoterId,
+        voter_count: u64,
+        process_nonce: u64,
+        now_ms: f64,
+    ) -> HeartbeatRounds {
+        let round_offset = fastrand::Rng::with_seed(process_nonce).u32(..);
         HeartbeatRounds {
             voter_id,
             voter_count,
-            round: 0,
+            round_offset,
+            round: round_offset,
             round_started_ms: now_ms,
             followers: BTreeSet::new(),
             is_confirmed: false,
@@ -104,14 +118,16 @@
         self.named_at_ms = now_ms;
     }
 
-    /// A heartbeat that is about to be sent. A reply is changed to name no leader before the one that this voter has
-    /// promised to follow.
+    /// A heartbeat that is about to be sent. A request gets its round's number on the wire. A reply is changed to name no
+    /// leader before the one that this voter has promised to follow.
     pub(super) fn on_send(&mut self, now_ms: f64, heartbeat: &mut HeartbeatMsg, promise: Ballot) {
         match heartbeat {
-            HeartbeatMsg::Request(request) if request.round != self.round => {
-                self.begin_round(now_ms, request.round, promise);
+            HeartbeatMsg::Request(request) => {
+                request.round = request.round.wrapping_add(self.round_offset);
+                if request.round != self.round {
+                    self.begin_round(now_ms, request.round, promise);
+                }
             }
-            HeartbeatMsg::Request(_) => {}
             HeartbeatMsg::Reply(reply) => {
                 reply.leader = reply.leader.max(promise);
                 self.record_named_leader(now_ms, reply.leader);
@@ -131,11 +147,13 @@
         }
     }
 
-    /// A reply to a heartbeat; one to an earlier round, or that names another leader, has no effect.
-    pub(super) fn on_reply(&mut self, from: VoterId, reply: &HeartbeatReply, promise: Ballot) {
+    /// A reply to a heartbeat; one to an earlier round, or that names another leader, has no effect. It gets back the
+    /// library's number of its round.
+    pub(super) fn on_reply(&mut self, from: VoterId, reply: &mut HeartbeatReply, promise: Ballot) {
         if reply.round == self.round && reply.leader == promise && promise.pid == self.voter_id {
             self.followers.insert(from);
         }
+        reply.round = reply.round.wrapping_sub(self.round_offset);
     }
 
     /// Confirms the current round where a majority follows in it. True once a round.
--- a/src/consensus/voter.rs
+++ b/src/consensus/voter.rs
@@ -73,7 +73,7 @@
             return Err(ConsensusError::Voters(config.voter_count));
         }
         let mut consensus = Consensus {
-            heartbeat: HeartbeatRounds::new(config.voter_id, config.voter_count, now_ms),
+            heartbeat: HeartbeatRounds::new(config.voter_id, config.voter_count, config.nonce, now_ms),
             file: VoteFileWriter::new(config.generation),
             config,
             phase: Phase::Recovering(Recovery::default()),
@@ -273,8 +273,8 @@
         if !preserves_decided_entries(&mut message, paxos.get_decided_idx()) {
             return Ok(());
         }
-        if let PaxosMessage::BLE(heartbeat) = &*message
-            && let HeartbeatMsg::Reply(reply) = &heartbeat.msg
+        if let PaxosMessage::BLE(heartbeat) = &mut *message
+            && let HeartbeatMsg::Reply(reply) = &mut heartbeat.msg
         {
             self.heartbeat.on_reply(from, reply, paxos.get_promise());
         }
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -62,7 +62,7 @@
         let own_zone = own.map_or(0, |member| member.zone);
         let incarnation = config.fleet.incarnation;
         let zones = ZoneFailover::new(own_zone, config.zones, config.failover, incarnation, now);
-        let rollout = config.rollout.map(Rollout::new);
+        let rollout = config.rollout.map(|settings| Rollout::new(settings, incarnation));
         let node = FleetNode::new(config.fleet, persisted, now)?;
         Ok(ControlPlane { node, zones, rollout })
     }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -162,8 +162,9 @@
 
 impl Rollout {
     /// The state of a node that has just started.
-    pub fn new(settings: RolloutSettings) -> Rollout {
-        Rollout { settings, participant: Participant::new(settings), coordinator: None }
+    pub fn new(settings: RolloutSettings, process_nonce: u64) -> Rollout {
+        let participant = Participant::new(settings, process_nonce);
+        Rollout { settings, participant, coordinator: None }
     }
 
     /// The member's part.
--- a/src/rollout/participant.rs
+++ b/src/rollout/participant.rs
@@ -88,7 +88,10 @@
 
 impl Participant {
     /// A member that knows nothing yet, and serves nothing.
-    pub fn new(settings: RolloutSettings) -> Participant {
+    ///
+    /// `process_nonce` differs from that of this member's earlier processes: heartbeats are numbered from a number drawn from
+    /// it, so that a late grant to an earlier process is no answer to one of this process.
+    pub fn new(settings: RolloutSettings, process_nonce: u64) -> Participant {
         Participant {
             settings,
             decision: PolicyDecision::default(),
@@ -99,7 +102,7 @@
             pause: PauseState::Running,
             latest_pause: None,
             lease_until_ms: f64::NEG_INFINITY,
-            nonce: 0,
+            nonce: u64::from(fastrand::Rng::with_seed(process_nonce).u32(..)),
             pending_requests: VecDeque::new(),
             leader: None,
             next_heartbeat_ms: f64::NEG_INFINITY,
--- a/src/rollout/tests/faults.rs
+++ b/src/rollout/tests/faults.rs
@@ -62,8 +62,8 @@
 
 /// Faults by seed while versions are wanted anywhere: each step checks that nothing old runs after what is new, and that
 /// only what is decided runs; healed, all run one version. The last seed was found by a run of 300: a voter that was killed,
-/// started again and is cut off from the others goes on serving its version while they decide the next. Probably a heartbeat
-/// reply to its earlier process, late and sent twice, is counted for a round of the new one.
+/// started again and is cut off from the others went on serving its version while they decided the next. Late replies to its
+/// earlier process were taken for replies to the new one: a grant of a lease, and replies to heartbeats.
 #[test]
 fn a_change_is_everywhere_or_nowhere_under_any_faults() {
     let config = ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() };
--- a/src/rollout/tests/lease.rs
+++ b/src/rollout/tests/lease.rs
@@ -120,3 +120,45 @@
         }
     }
 }
+
+/// All datagrams that reach a member while the cluster runs, each with the time since the first step.
+fn record_datagrams(cluster: &mut Cluster, to: MemberId, ms: f64) -> Vec<(f64, MemberId, Vec<u8>)> {
+    let (began, mut recorded, mut last_sent) = (cluster.now, Vec::new(), 0);
+    while cluster.now < began + ms {
+        cluster.step();
+        for (at, sent, from, receiver, bytes) in &cluster.in_transit {
+            if *receiver == to && *sent > last_sent {
+                recorded.push((at - began, *from, bytes.clone()));
+            }
+        }
+        last_sent = cluster.sent;
+    }
+    recorded
+}
+
+/// A member is killed, starts again and is cut off, and what was sent to its earlier process comes once more. Its requests
+/// have the same numbers as those of the earlier process had: a late grant that is believed to answer one of them is a lease
+/// that nobody knows of, and it serves an old version while the others go on to the next.
+#[test]
+fn a_late_grant_to_an_earlier_process_of_a_member_is_no_lease() {
+    let mut cluster = Cluster::new(8);
+    let recorded = record_datagrams(&mut cluster, 4, 4000.0);
+    assert!(cluster.fronts[&4].lease_until > cluster.now, "the earlier process had leases");
+    cluster.kill(4);
+    cluster.split(&[4]);
+    cluster.in_transit.retain(|datagram| datagram.3 != 4);
+    cluster.start(4);
+    let began = cluster.now;
+    for (after, from, bytes) in recorded {
+        while cluster.now < began + after {
+            cluster.step();
+            assert!(
+                cluster.fronts[&4].lease_until <= 0.0,
+                "a lease {} ms after the start",
+                cluster.now - began
+            );
+        }
+        cluster.sent += 1;
+        cluster.in_transit.push((cluster.now, cluster.sent, from, 4, bytes));
+    }
+}
