--- /dev/null
+++ b/tests/common/stand_ins.rs
@@ -0,0 +1,226 @@
+//! Stand-ins that run by themselves: a discovery service whose list and faults a test sets, and job servers that serve what
+//! they get and count it.
+#![allow(dead_code)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::crossing::reset;
+use super::net::{Http, listener, value};
+
+/// How the discovery service treats calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Answers,
+    /// Each call fails at once, as where the service is down.
+    Fails,
+    /// The connection is reset under the call.
+    Resets,
+    /// The answer ends in its middle.
+    Truncates,
+    /// It reads the call and says nothing more.
+    Silent,
+}
+
+struct DiscoveryState {
+    mode: Mode,
+    /// Calls that are still treated as `mode` says; all after them are answered.
+    faults_left: u64,
+    version: u64,
+    hosts: String,
+    /// When calls came.
+    calls: Vec<Instant>,
+}
+
+/// A discovery service.
+#[derive(Clone)]
+pub struct StandInDiscovery {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<DiscoveryState>, Condvar)>,
+}
+
+impl StandInDiscovery {
+    /// A service that answers with this list.
+    pub fn start(version: u64, hosts: &str) -> StandInDiscovery {
+        let (listener, address) = listener();
+        let state = DiscoveryState {
+            mode: Mode::Answers,
+            faults_left: u64::MAX,
+            version,
+            hosts: hosts.into(),
+            calls: Vec::new(),
+        };
+        let discovery = StandInDiscovery { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
+        let service = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let service = service.clone();
+                thread::spawn(move || service.serve(Http::over(stream)));
+            }
+        });
+        discovery
+    }
+
+    /// Has it treat so many calls in some way, and answer those after them.
+    pub fn treat(&self, mode: Mode, calls: u64) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.mode, state.faults_left) = (mode, calls);
+    }
+
+    /// Makes a newer list known; watches that wait are answered.
+    pub fn publish(&self, version: u64, hosts: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.version, state.hosts) = (version, hosts.into());
+        self.state.1.notify_all();
+    }
+
+    /// When calls came.
+    pub fn calls(&self) -> Vec<Instant> {
+        self.state.0.lock().unwrap().calls.clone()
+    }
+
+    fn serve(&self, mut call: Http) {
+        loop {
+            let (head, _) = call.read();
+            if head.is_empty() {
+                return;
+            }
+            let (mode, answer) = self.answer(&head);
+            match mode {
+                Mode::Answers => call.write(&http_answer(&answer)),
+                Mode::Fails => {
+                    call.write("HTTP/1.1 503 Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                    return;
+                }
+                Mode::Resets => return reset(call),
+                Mode::Truncates => {
+                    let answer = http_answer(&answer);
+                    call.write(&answer[..answer.len() / 2]);
+                    return;
+                }
+                Mode::Silent => drop(call.read()),
+            }
+        }
+    }
+
+    /// How a call is treated, and its answer, which is waited for as long as the call says.
+    fn answer(&self, head: &str) -> (Mode, String) {
+        let parameter = |name: &str| {
+            let rest = head.split(&format!("{name}=")).nth(1)?;
+            rest.split([' ', '&']).next()?.parse::<u64>().ok()
+        };
+        let mut state = self.state.0.lock().unwrap();
+        state.calls.push(Instant::now());
+        if state.mode != Mode::Answers && state.faults_left > 0 {
+            state.faults_left -= 1;
+            let mode = state.mode;
+            return (mode, list(&state));
+        }
+        let held = parameter("since").unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(parameter("timeout_ms").unwrap_or(0));
+        while state.version <= held && Instant::now() < until {
+            state = self.state.1.wait_timeout(state, until - Instant::now()).unwrap().0;
+        }
+        if state.version > held {
+            return (Mode::Answers, list(&state));
+        }
+        (Mode::Answers, format!(r#"{{"seq":{held},"whole":false,"hosts":[]}}"#))
+    }
+}
+
+fn list(state: &DiscoveryState) -> String {
+    format!(r#"{{"seq":{},"whole":true,"hosts":[{}]}}"#, state.version, state.hosts)
+}
+
+fn http_answer(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A server that takes each job and calls back that it is done.
+pub struct JobServer {
+    pub name: String,
+    pub address: SocketAddr,
+    listener: TcpListener,
+    jobs: Arc<AtomicU64>,
+}
+
+impl JobServer {
+    /// A server that listens, and serves once it is told whose jobs.
+    pub fn listen(name: &str) -> JobServer {
+        let (listener, address) = listener();
+        JobServer { name: name.into(), address, listener, jobs: Arc::default() }
+    }
+
+    /// Serves the jobs of the dispatcher at `dispatcher`.
+    pub fn serve(&self, dispatcher: SocketAddr) {
+        let listener = self.listener.try_clone().unwrap();
+        let (name, jobs) = (self.name.clone(), Arc::clone(&self.jobs));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (name, jobs) = (name.clone(), Arc::clone(&jobs));
+                thread::spawn(move || serve_jobs(Http::over(stream), dispatcher, &name, &jobs));
+            }
+        });
+    }
+
+    /// How many jobs it has been sent.
+    pub fn jobs(&self) -> u64 {
+        self.jobs.load(Ordering::Relaxed)
+    }
+}
+
+fn serve_jobs(mut connection: Http, dispatcher: SocketAddr, name: &str, jobs: &AtomicU64) {
+    loop {
+        let (head, _) = connection.read();
+        if head.is_empty() {
+            return;
+        }
+        if !head.starts_with("POST ") {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        }
+        jobs.fetch_add(1, Ordering::Relaxed);
+        connection.take();
+        let id = value(&head, "req-id").unwrap();
+        Http::connect(dispatcher).call_back(&id, name, "done", "ok");
+    }
+}
+
+/// Waits until the dispatcher says that clients may come; how long that took.
+pub fn wait_until_ready(dispatcher: SocketAddr, limit: Duration) -> Duration {
+    let began = Instant::now();
+    loop {
+        let mut http = Http::connect(dispatcher);
+        http.write("GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        if http.read().0.starts_with("HTTP/1.1 200") {
+            return began.elapsed();
+        }
+        assert!(began.elapsed() < limit, "not ready within {limit:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Hands jobs in, one after the other, for a while; how many were answered 200, and how many otherwise.
+pub fn submit_for(dispatcher: SocketAddr, name: &str, duration: Duration) -> (u64, u64) {
+    let (end, mut served, mut other) = (Instant::now() + duration, 0, 0);
+    let mut client = Http::connect(dispatcher);
+    for number in 0.. {
+        if Instant::now() >= end {
+            break;
+        }
+        client.submit("avail-search", &format!("{name}-{number}"));
+        let (head, _) = client.read();
+        if head.starts_with("HTTP/1.1 200") {
+            served += 1;
+        } else {
+            other += 1;
+            client = Http::connect(dispatcher);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    (served, other)
+}
