The freshness of the list has one owner: no attempt by a list that nobody has confirmed

Cause: a process that starts served from the list of its configuration as if it were news, said at once that clients may come, and called discovery at its slot up to 6 s later. Removals of before count as notified, so each attempt at a removed server broke the drain rule. The same held past 8 s of failing calls, and after a process was held up. Change: src/routing/list_freshness.rs decides until when the list may be used, from answers, failures by kind, starts, SIGHUP and hold-ups; the core holds jobs and takes decided attempts back past that; /up and readyz wait for a usable list, 9 s at most (5.5 s where dispatchers are few); the first call comes within 4.2 s and is answered at once; a call that cost discovery nothing is repeated after 200 ms. Discovery that is down is told from one that is crowded, and the old list then serves. Events, counters and figures for each transition. Tests that scripted a silent first call now answer it (confirm_list, which checks the call); plain lines of the log are told from events; the upgrade's drains are told by a discovery that falls silent after the first process is ready.

--- a/rig/src/scale/lists.rs
+++ b/rig/src/scale/lists.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use micabeam::core::{Clock, Command, Core, JobRequest};
-use micabeam::frontend::discovery::read_list;
+use micabeam::frontend::list_reader::read_list;
 use micabeam::json;
 use micabeam::routing::{LoadReport, Outcome};
 use micabeam::settings::Site;
--- a/src/bin/micabeam-adapter/main.rs
+++ b/src/bin/micabeam-adapter/main.rs
@@ -150,7 +150,7 @@
     let _revision = r.u64()?;
     let number = usize::from(r.u16()?);
     if kind == 3 {
-        return Ok(Event::ListFailed);
+        return Ok(Event::ListFailed { is_cheap: false });
     }
     let list = lists.get(number).and_then(Option::as_deref);
     let list = list.ok_or_else(|| format!("refers to list {number}, which was not sent"))?;
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -35,6 +35,10 @@
     pub list_failures: u64,
     /// Lines of lists that the endpoint table had no room for.
     pub lines_dropped: u64,
+    /// Attempts sent while the list was not confirmed.
+    pub sent_unconfirmed: u64,
+    /// Jobs that came while no attempt could be made, as the list was too old.
+    pub withheld: u64,
 }
 
 impl fmt::Display for Counters {
@@ -55,6 +59,8 @@
             ("lists", self.lists),
             ("list_failures", self.list_failures),
             ("lines_dropped", self.lines_dropped),
+            ("sent_unconfirmed", self.sent_unconfirmed),
+            ("withheld", self.withheld),
         ];
         for (name, count) in rows {
             writeln!(f, "{name} {count}")?;
--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -4,26 +4,48 @@
 use super::clock::micros;
 use super::endpoint_table::{ListScope, ListedEndpoint, MAX_ENDPOINTS};
 use super::partition::ALL_ENDPOINTS;
-use crate::routing::{Endpoint, EndpointId, Event, LoadReport, WarmState};
+use crate::routing::{CallFailure, Endpoint, EndpointId, Event, LoadReport, WarmState};
 
 impl Core {
     /// The list as last held before a restart.
     pub fn restore_list(&mut self, lines: Vec<ListedEndpoint>) {
+        let now = micros(self.clock.now());
+        self.list_freshness.on_start(now);
+        self.attempts_allowed = self.list_freshness.allows_attempts(now);
+        self.hand_to_router(ALL_ENDPOINTS, Event::AttemptsAllowed(self.attempts_allowed));
         let endpoints = self.apply_lines(lines, ListScope::Complete);
         self.drive(ALL_ENDPOINTS, Event::Cached(&endpoints));
     }
 
+    /// A call to discovery goes out that may wait so long for news; 0: it is answered at once.
+    pub fn on_list_call(&mut self, wait_ms: f64) {
+        self.list_freshness.on_call(micros(self.clock.now()), micros(wait_ms));
+    }
+
+    /// Another discovery is asked from now on.
+    pub fn on_discovery_changed(&mut self) {
+        self.list_freshness.on_service_changed(micros(self.clock.now()));
+        self.refresh_attempts_allowed();
+    }
+
     /// The list, or its changes.
     pub fn on_list(&mut self, lines: Vec<ListedEndpoint>, scope: ListScope) {
         self.statistics.counters.lists += 1;
+        self.confirm_list();
         let endpoints = self.apply_lines(lines, scope);
         self.notify_routers(&endpoints, scope);
     }
 
-    /// A call to discovery has failed, or the watch broke.
-    pub fn on_list_failed(&mut self) {
-        self.statistics.counters.list_failures += 1;
-        self.drive(ALL_ENDPOINTS, Event::ListFailed);
+    /// A call to discovery has failed, or the watch broke: the router says when to call again.
+    pub fn on_list_failed(&mut self, failure: CallFailure) {
+        let lasted = self.record_list_failure(failure);
+        let is_cheap = failure.is_cheap(lasted);
+        self.drive(ALL_ENDPOINTS, Event::ListFailed { is_cheap });
+    }
+
+    /// A call to discovery has failed, and its frontend has made it again already.
+    pub fn on_list_call_repeated(&mut self, failure: CallFailure) {
+        self.record_list_failure(failure);
     }
 
     /// A probe has come back, or has not in time.
@@ -45,6 +67,8 @@
     /// read here; false where what was learned cannot be true here, and then it is not taken over.
     pub fn restore_warm_state(&mut self, lines: Vec<ListedEndpoint>, state: WarmState) -> bool {
         if self.statistics.counters.lists == 0 {
+            self.list_freshness.on_predecessor_list(micros(self.clock.now()));
+            self.drive(ALL_ENDPOINTS, Event::ListWanted);
             let endpoints = self.apply_lines(lines, ListScope::Complete);
             self.notify_routers(&endpoints, ListScope::Complete);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod endpoint_table;
 mod job;
 mod jobs;
+mod list_status;
 mod partition;
 mod partitions;
 mod routers;
@@ -33,11 +34,12 @@
 pub use counters::Counters;
 pub use endpoint_table::{EndpointTable, ListScope, ListedEndpoint, MAX_ENDPOINTS};
 pub use job::{ActiveJob, Attempt, FinalAnswer, JobRequest};
+pub use list_status::ListStatus;
 pub use partition::{ALL_ENDPOINTS, EndpointSelector, PartitionId};
 pub use traffic_split::{Admission, TrafficEvent};
 pub use zone_traffic::ZoneLoad;
 
-use crate::routing::{Action, AttemptEnd, Event, JobId, LoadReport, Outcome, WarmState};
+use crate::routing::{Action, AttemptEnd, Event, JobId, ListFreshness, LoadReport, Outcome, WarmState};
 use crate::settings::Site;
 use crate::telemetry::{Gauges, Telemetry};
 use jobs::Jobs;
@@ -60,6 +62,10 @@
     jobs: Jobs,
     endpoints: EndpointTable,
     routers: Routers,
+    /// Whether the list may be acted on.
+    list_freshness: ListFreshness,
+    /// What the routers were told last of that.
+    attempts_allowed: bool,
     limits: AdmissionLimits,
     /// What each zone may get, where a fleet decides on that.
     traffic_split: Option<Box<TrafficSplit>>,
@@ -78,6 +84,8 @@
             jobs: Jobs::default(),
             endpoints: EndpointTable::default(),
             routers: Routers::new(site.settings.clone(), seed),
+            list_freshness: ListFreshness::fixed(&site.settings),
+            attempts_allowed: true,
             limits: AdmissionLimits { max_jobs, is_stopping: false, shutdown_deadline: None },
             traffic_split: None,
             statistics: Statistics::new(class_names),
@@ -103,6 +111,7 @@
     /// Takes over compatible settings and another bound on open jobs; what is open goes on under them.
     pub fn reconfigure(&mut self, site: Site, max_jobs: usize) {
         self.routers.reconfigure(&site.settings);
+        self.list_freshness.reconfigure(&site.settings);
         self.site = site;
         self.limits.max_jobs = max_jobs;
     }
@@ -123,6 +132,7 @@
         })?;
         self.jobs.insert(id, request);
         self.routers.job_opened(request.partition);
+        self.count_withheld_job();
         self.drive(request.partition, route::job_event(id, &request));
         Ok(id)
     }
@@ -206,13 +216,15 @@
         let Some(open) = self.jobs.get(job).filter(|job| job.phase != job::JobPhase::Finished) else {
             return false;
         };
-        let is_open = open.attempts.get(attempt).is_some_and(|attempt| attempt.is_open);
+        let is_open = open.attempts.get(attempt).is_some_and(|attempt| attempt.is_open)
+            && self.list_freshness.allows_attempts(micros(self.clock.now()));
         let router = self.routers.router(open.request.partition);
         is_open && router.attempt_is_valid(micros(self.clock.now()), job, attempt)
     }
 
     /// Lets routers know that the time has come for which they asked.
     pub fn tick(&mut self) {
+        self.refresh_attempts_allowed();
         if self.routers.all_is_due(micros(self.clock.now())) {
             self.drive(ALL_ENDPOINTS, Event::Wake);
         }
@@ -223,7 +235,8 @@
 
     /// When `tick` is to be called next, in milliseconds of the clock.
     pub fn next_deadline(&self) -> Option<f64> {
-        self.routers.next_wake().map(millis)
+        let freshness_change = self.list_freshness.next_change(micros(self.clock.now()));
+        self.routers.next_wake().into_iter().chain(freshness_change).min().map(millis)
     }
 
     /// The next command for the frontend.
@@ -305,6 +318,11 @@
     /// Hands one event to the router of a partition, turns its actions into commands, and closes the jobs that are
     /// finished. Every event that concerns a router comes through here, once.
     fn drive(&mut self, partition: PartitionId, event: Event<'_>) {
+        self.refresh_attempts_allowed();
+        self.hand_to_router(partition, event);
+    }
+
+    fn hand_to_router(&mut self, partition: PartitionId, event: Event<'_>) {
         let now = micros(self.clock.now());
         let mut actions = std::mem::take(&mut self.actions);
         route::route(&mut self.routers, partition, now, event, &mut actions);
@@ -326,6 +344,7 @@
         match *action {
             Action::Send { job, endpoint } => {
                 send::start_attempt(&mut self.jobs, counters, commands, self.clock.now(), job, endpoint);
+                self.count_unconfirmed_attempt();
             }
             Action::Cancel { job, attempt } => {
                 send::cancel_attempt(&mut self.jobs, counters, commands, job, attempt);
--- a/src/core/partitions.rs
+++ b/src/core/partitions.rs
@@ -25,6 +25,7 @@
         let others = self.routers.partition_states();
         let id = self.routers.add(selector, &self.site.settings);
         let selected = selector.select(&self.endpoints, &self.scaled_endpoints());
+        self.drive(id, Event::AttemptsAllowed(self.attempts_allowed));
         self.drive(id, Event::List(&selected));
         self.routers.inherit(id, micros(self.clock.now()), others);
         id
--- a/src/frontend/discovery.rs
+++ b/src/frontend/discovery.rs
@@ -8,16 +8,15 @@
 //! | calling | a long poll is silent past its time | calling, at once and on a new connection |
 //! | calling | any other failure | off; with an agent, pausing |
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-use thiserror::Error;
-
 use super::Sockets;
-use crate::core::{Core, ListScope, ListedEndpoint, micros, millis};
-use crate::json::{self, JsonError, JsonValue, flag, number, text};
+use super::list_reader::parse_list;
+use crate::core::{Core, ListScope, ListedEndpoint, millis};
 use crate::net::ConnId;
 use crate::net::http;
-use crate::routing::{Endpoint, EndpointId, EndpointStatus, Settings};
+use crate::routing::{CallFailure, EndpointId, Settings};
 use crate::settings::Site;
 
 /// How long a call waits for news, in milliseconds: silence on it is noticed, and made good, before what it missed counts as
@@ -33,6 +32,8 @@
 /// How long a call waits for news where an agent on this machine pushes lists, in milliseconds: it answers at once and at no
 /// cost. While discovery is down it is silent, and what it is told at the return counts as told at that moment.
 const AGENT_WAIT_MS: f64 = 1_000.0;
+/// How long a connection may take to come up, in milliseconds: until then nothing of the call was sent.
+const CONNECT_TIMEOUT_MS: f64 = 2_500.0;
 /// After this time beyond its wait a call to an agent has fallen silent, in milliseconds.
 const AGENT_SILENCE_TIMEOUT_MS: f64 = 500.0;
 /// Time between a failed call to an agent and the next, in milliseconds.
@@ -57,7 +58,9 @@
     Off,
     Calling {
         started_at_ms: f64,
+        /// When it is given up, unless its connection does not come up before.
         deadline_ms: f64,
+        is_connecting: bool,
         /// It may wait for news: its silence says that the watch is broken, not that discovery is.
         is_long_poll: bool,
         /// It went out on a connection that had answered before.
@@ -78,15 +81,24 @@
         scope: ListScope,
     },
     /// It failed. The router says when to call again.
-    Failed,
+    Failed(CallFailure),
+    /// It failed, and has been made again already.
+    Repeated(CallFailure),
 }
 
 impl DiscoveryUpdate {
     /// Tells a core, and gives the endpoints that were started again, or have moved: their old connections are gone.
     pub fn apply(self, core: &mut Core) -> Vec<EndpointId> {
-        let DiscoveryUpdate::List { lines, scope } = self else {
-            core.on_list_failed();
-            return Vec::new();
+        let (lines, scope) = match self {
+            DiscoveryUpdate::List { lines, scope } => (lines, scope),
+            DiscoveryUpdate::Failed(failure) => {
+                core.on_list_failed(failure);
+                return Vec::new();
+            }
+            DiscoveryUpdate::Repeated(failure) => {
+                core.on_list_call_repeated(failure);
+                return Vec::new();
+            }
         };
         let renewed = |line: &ListedEndpoint| {
             let id = core.endpoints().id(&line.name)?;
@@ -111,6 +123,10 @@
     /// Answers in a row that told an older version than the one held, and were not taken.
     stale_answers: u32,
     watch: Watch,
+    /// Nothing was answered since the start: the first call is to be answered at once, whether or not there is news.
+    awaits_first_answer: bool,
+    /// How long the call may wait that was begun last, in milliseconds, until it is asked for.
+    started_wait_ms: Option<f64>,
     rng: fastrand::Rng,
 }
 
@@ -125,6 +141,8 @@
             version: Some(version),
             stale_answers: 0,
             watch: Watch::Off,
+            awaits_first_answer: true,
+            started_wait_ms: None,
             rng,
         }
     }
@@ -146,10 +164,23 @@
     pub fn next_deadline(&self) -> f64 {
         match self.watch {
             Watch::Off => f64::INFINITY,
+            Watch::Calling { started_at_ms, deadline_ms, is_connecting: true, .. } => {
+                deadline_ms.min(started_at_ms + CONNECT_TIMEOUT_MS)
+            }
             Watch::Calling { deadline_ms, .. } | Watch::Pausing { deadline_ms } => deadline_ms,
         }
     }
 
+    /// The version of the list that is held, where one is.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// How long the call may wait for news that was begun since the last time that this was asked, in milliseconds.
+    pub fn take_started_call(&mut self) -> Option<f64> {
+        self.started_wait_ms.take()
+    }
+
     /// Calls discovery, unless a call was begun just now. One that has waited for a while is begun anew, on a new
     /// connection: the old one may have fallen silent.
     pub fn call(&mut self, net: &mut Sockets, now_ms: f64, settings: &Settings) -> Option<DiscoveryUpdate> {
@@ -160,7 +191,8 @@
             }
             self.close(net);
         }
-        let wait_ms = self.version.map_or(0.0, |_| self.watch_wait_ms(settings));
+        let is_answered_at_once = self.awaits_first_answer || self.version.is_none();
+        let wait_ms = if is_answered_at_once { 0.0 } else { self.watch_wait_ms(settings) };
         self.start_call(net, now_ms, wait_ms, settings)
     }
 
@@ -199,14 +231,22 @@
             deadline_ms: now_ms + wait_ms + timeout_ms,
             is_long_poll,
             is_reused: reusable.is_some(),
+            is_connecting: reusable.is_none(),
         };
+        self.started_wait_ms = Some(wait_ms);
         let conn = if let Some(conn) = reusable {
             Ok(conn)
         } else {
             self.close(net);
             net.open(self.address)
         };
-        let Ok(conn) = conn else { return self.on_failed(net, now_ms, settings) };
+        let conn = match conn {
+            Ok(conn) => conn,
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => {
+                return self.on_failed(net, now_ms, settings, CallFailure::Refused);
+            }
+            Err(_) => return self.on_failed(net, now_ms, settings, CallFailure::Local),
+        };
         self.conn = Some(conn);
         let target = match self.version {
             Some(version) => format!("/discovery/hosts?since={version}&timeout_ms={}", wait_ms as u64),
@@ -222,8 +262,13 @@
         let conn = self.conn.and_then(|id| net.conn(id))?;
         conn.pump();
         let ended = conn.eof || conn.broken;
+        let (is_connecting, is_refused) = (conn.connecting, conn.refused);
+        let has_begun_answer = !conn.rx.is_empty();
         // Guards against half an answer that is taken for a whole one: what a reset cuts off has not ended.
         let message = http::read_response(&mut conn.rx, conn.eof && !conn.broken);
+        if let Watch::Calling { is_connecting: was_connecting, .. } = &mut self.watch {
+            *was_connecting = is_connecting;
+        }
         let Watch::Calling { started_at_ms, is_long_poll, is_reused, .. } = self.watch else {
             // Nothing was asked for.
             if ended || !matches!(message, Ok(None)) {
@@ -243,21 +288,43 @@
                 if ended || message.close {
                     self.close(net);
                 }
-                match parse_list(&message.body, site) {
-                    Ok(list) if self.is_stale(list.version) => self.on_failed(net, now_ms, &site.settings),
-                    Ok(list) => {
-                        self.version = Some(list.version);
-                        self.watch = Watch::Pausing { deadline_ms: now_ms + WATCH_INTERVAL_MS };
-                        Some(DiscoveryUpdate::List { lines: list.lines, scope: list.scope })
-                    }
-                    Err(e) => {
-                        crate::say(format_args!("discovery's answer does not read: {e}"));
-                        self.on_failed(net, now_ms, &site.settings)
-                    }
-                }
+                self.on_list(net, now_ms, site, &message.body)
+            }
+            Ok(Some(_)) => self.on_failed(net, now_ms, &site.settings, CallFailure::Broken),
+            // What has been written counts as told, whether or not all of it came.
+            Ok(None) if has_begun_answer => {
+                self.on_failed(net, now_ms, &site.settings, CallFailure::Incomplete)
+            }
+            Err(_) => self.on_failed(net, now_ms, &site.settings, CallFailure::Incomplete),
+            Ok(None) => {
+                let failure = if is_refused { CallFailure::Refused } else { CallFailure::Broken };
+                self.on_failed(net, now_ms, &site.settings, failure)
+            }
+        }
+    }
+
+    /// A complete answer has come.
+    fn on_list(
+        &mut self,
+        net: &mut Sockets,
+        now_ms: f64,
+        site: &Site,
+        body: &[u8],
+    ) -> Option<DiscoveryUpdate> {
+        let list = match parse_list(body, site) {
+            Ok(list) => list,
+            Err(e) => {
+                crate::say(format_args!("discovery's answer does not read: {e}"));
+                return self.on_failed(net, now_ms, &site.settings, CallFailure::Incomplete);
             }
-            _ => self.on_failed(net, now_ms, &site.settings),
+        };
+        if self.is_stale(list.version) {
+            return self.on_failed(net, now_ms, &site.settings, CallFailure::Stale);
         }
+        self.version = Some(list.version);
+        self.awaits_first_answer = false;
+        self.watch = Watch::Pausing { deadline_ms: now_ms + WATCH_INTERVAL_MS };
+        Some(DiscoveryUpdate::List { lines: list.lines, scope: list.scope })
     }
 
     /// Whether a version is older than the one held. Guards against a drain that is forgotten again as a late copy of
@@ -272,6 +339,11 @@
         stale
     }
 
+    /// Whether a configuration names another discovery service than before.
+    pub fn is_other_service(&self, configured: Option<SocketAddr>) -> bool {
+        configured.is_some() && configured != self.configured
+    }
+
     /// Goes over to the discovery service that the configuration names, if it names another one than before.
     /// Its versions need not go on from those of the old one, which soon ends all watches: the whole list is
     /// asked for first.
@@ -282,7 +354,7 @@
         configured: Option<SocketAddr>,
         settings: &Settings,
     ) -> Option<DiscoveryUpdate> {
-        let address = configured.filter(|_| configured != self.configured)?;
+        let address = configured.filter(|_| self.is_other_service(configured))?;
         self.close(net);
         let watch = Watch::Pausing { deadline_ms: now_ms };
         (self.address, self.configured, self.version, self.watch) = (address, configured, None, watch);
@@ -297,96 +369,42 @@
     }
 
     /// The router says when to call again, but for an agent, which is asked again at once.
-    fn on_failed(&mut self, net: &mut Sockets, now_ms: f64, settings: &Settings) -> Option<DiscoveryUpdate> {
+    fn on_failed(
+        &mut self,
+        net: &mut Sockets,
+        now_ms: f64,
+        settings: &Settings,
+        failure: CallFailure,
+    ) -> Option<DiscoveryUpdate> {
         self.close(net);
         if !settings.must_subscribe {
             self.watch = Watch::Pausing { deadline_ms: now_ms + AGENT_RETRY_INTERVAL_MS };
-            return None;
+            return Some(DiscoveryUpdate::Repeated(failure));
         }
         self.watch = Watch::Off;
-        Some(DiscoveryUpdate::Failed)
+        Some(DiscoveryUpdate::Failed(failure))
     }
 
     /// Does what is due by now.
     pub fn tick(&mut self, net: &mut Sockets, now_ms: f64, settings: &Settings) -> Option<DiscoveryUpdate> {
+        if let Watch::Calling { is_connecting: true, .. } = self.watch
+            && self.next_deadline() <= now_ms
+        {
+            return self.on_failed(net, now_ms, settings, CallFailure::Silent);
+        }
         match self.watch {
             // Guards against a watch that has fallen silent and is missed only when the router calls again: it is
             // asked anew at once, on a new connection. Watches of many end at unlike times, so that this is no rush.
             Watch::Calling { deadline_ms, is_long_poll: true, .. } if deadline_ms <= now_ms => {
                 self.close(net);
-                self.start_call(net, now_ms, 0.0, settings)
+                let failure = self.start_call(net, now_ms, 0.0, settings);
+                Some(failure.unwrap_or(DiscoveryUpdate::Repeated(CallFailure::Silent)))
             }
             Watch::Calling { deadline_ms, .. } if deadline_ms <= now_ms => {
-                self.on_failed(net, now_ms, settings)
+                self.on_failed(net, now_ms, settings, CallFailure::Silent)
             }
             Watch::Pausing { deadline_ms } if deadline_ms <= now_ms => self.call(net, now_ms, settings),
             _ => None,
         }
     }
 }
-
-/// The list, or its changes, as discovery tells it.
-#[derive(Clone, Debug)]
-pub struct EndpointList {
-    /// Its version.
-    pub version: u64,
-    /// Its lines.
-    pub lines: Vec<ListedEndpoint>,
-    /// How much of the list the lines are.
-    pub scope: ListScope,
-}
-
-/// Why a list does not read.
-#[derive(Debug, Error)]
-pub enum ListError {
-    /// It is no JSON.
-    #[error(transparent)]
-    Json(#[from] JsonError),
-    /// It has no version.
-    #[error("the list has no seq")]
-    NoVersion,
-    /// One of its lines has no name.
-    #[error("a line of the list has no host")]
-    NoName,
-}
-
-/// Reads a list or its changes from their text.
-fn parse_list(body: &[u8], site: &Site) -> Result<EndpointList, ListError> {
-    read_list(&json::parse(body)?, site)
-}
-
-/// Reads a list or its changes.
-///
-/// # Errors
-/// Where it has no version, or a line has no name. What else a line lacks has a default.
-pub fn read_list(list: &JsonValue, site: &Site) -> Result<EndpointList, ListError> {
-    let version = number(list, "seq").ok_or(ListError::NoVersion)? as u64;
-    let lines =
-        json::list(list, "hosts").iter().map(|line| read_line(line, site)).collect::<Result<_, _>>()?;
-    let scope = if flag(list, "whole") { ListScope::Complete } else { ListScope::Changes };
-    Ok(EndpointList { version, lines, scope })
-}
-
-fn read_line(line: &JsonValue, site: &Site) -> Result<ListedEndpoint, ListError> {
-    let name = text(line, "host").ok_or(ListError::NoName)?;
-    // A name that the settings do not have gets the number after all of theirs.
-    let index = |names: &[String], name: Option<&str>| {
-        names.iter().position(|known| Some(known.as_str()) == name).unwrap_or(names.len()) as u16
-    };
-    let status = match text(line, "health") {
-        Some("up") => EndpointStatus::Ready,
-        Some("removed") => EndpointStatus::Gone,
-        _ => EndpointStatus::Draining,
-    };
-    let endpoint = Endpoint {
-        id: EndpointId::default(),
-        kind: index(&site.kinds, text(line, "class")),
-        zone: index(&site.zones, text(line, "site")),
-        cell: number(line, "block").unwrap_or(0.0) as u32,
-        size: number(line, "share").unwrap_or(1.0),
-        started_at: micros(number(line, "born_ms").unwrap_or(0.0)),
-        status,
-    };
-    let address = text(line, "dial").unwrap_or("").to_string();
-    Ok(ListedEndpoint { name: name.to_string(), address, endpoint })
-}
--- a/src/frontend/gateway.rs
+++ b/src/frontend/gateway.rs
@@ -150,7 +150,7 @@
 
     /// Whether the process is ready to serve. Once it says so, the process that it replaces may stop listening.
     fn readiness(&self) -> String {
-        if self.http.as_ref().is_some_and(|http| !http.has_joined()) {
+        if self.http.as_ref().is_some_and(|http| !http.has_joined() || !http.has_usable_list()) {
             "NAK joining\n".into()
         } else if self.lifecycle.is_serving() {
             "ACK ready\n".into()
@@ -176,7 +176,10 @@
         cores.extend(self.streaming.as_ref().map(StreamingFrontend::core));
         let gauges = cores.iter().fold(Gauges::default(), |sum, core| sum + core.gauges());
         let counts: Vec<_> = cores.iter().map(|core| core.telemetry()).collect();
-        telemetry::render(&counts, gauges) + &self.fleet.as_ref().map(Fleet::figures).unwrap_or_default()
+        let lists = self.http.as_ref().map(|http| http.list_figures().to_string());
+        telemetry::render(&counts, gauges)
+            + &lists.unwrap_or_default()
+            + &self.fleet.as_ref().map(Fleet::figures).unwrap_or_default()
     }
 
     /// Begins to stop: what was taken is finished, and nothing new is taken after a short while.
--- a/src/frontend/http/config.rs
+++ b/src/frontend/http/config.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::core::{ListScope, ListedEndpoint};
-use crate::frontend::discovery::{EndpointList, ListError, read_list};
+use crate::frontend::list_reader::{EndpointList, ListError, read_list};
 use crate::json::{JsonValue, field, number, text};
 use crate::net::Budget;
 use crate::settings::{SettingsError, Site};
--- a/src/frontend/http/mod.rs
+++ b/src/frontend/http/mod.rs
@@ -34,7 +34,8 @@
 use super::shutdown::Shutdown;
 use crate::core::{Clock, Command, Core, IncompatibleSettings};
 use crate::net::ConnId;
-use crate::routing::JobId;
+use crate::routing::{JobId, ListState};
+use crate::telemetry::ListFigures;
 
 use clients::Clients;
 pub use config::{Config, ConfigError};
@@ -43,6 +44,11 @@
 
 /// Time between two looks for idle connections while clients are sent away, in milliseconds.
 const EVACUATION_INTERVAL_MS: f64 = 100.0;
+/// Within which a process that starts says that clients may come, whatever its list, in milliseconds. Nine in ten of those that
+/// start are to be ready within 10 s, and within 6 s on short days, as they come with few dispatchers.
+const MAX_LARGE_FLEET_START_MS: f64 = 9_000.0;
+/// The same where dispatchers are few.
+const MAX_START_MS: f64 = 5_500.0;
 /// Time between two looks whether all is finished once the last call of a stop is past, in milliseconds.
 const STOP_INTERVAL_MS: f64 = 20.0;
 
@@ -73,6 +79,8 @@
     is_closing_all: bool,
     /// Whether clients are sent away: `/up` says no, and connections are closed once they are idle.
     evacuating: bool,
+    /// When the process started, in milliseconds of the clock.
+    started_at_ms: f64,
     /// When to look next for connections that have become idle while clients are sent away.
     next_evacuation_ms: f64,
 }
@@ -93,10 +101,12 @@
             shutdown: None,
             is_closing_all: false,
             evacuating: false,
+            started_at_ms: 0.0,
             next_evacuation_ms: f64::INFINITY,
         };
         frontend.core.restore_list(known_list.lines);
-        frontend.discovery.begin(frontend.core.clock().now(), &frontend.core.site().settings);
+        frontend.started_at_ms = frontend.core.clock().now();
+        frontend.discovery.begin(frontend.started_at_ms, &frontend.core.site().settings);
         frontend
     }
 
@@ -114,6 +124,9 @@
         self.upstreams.reconfigure(config.site.connection_idle_ms, config.budget.upstreams);
         self.core.reconfigure(config.site, config.budget.jobs);
         let now_ms = self.core.clock().now();
+        if self.discovery.is_other_service(config.discovery) {
+            self.core.on_discovery_changed();
+        }
         let update = self.discovery.follow(net, now_ms, config.discovery, &self.core.site().settings);
         self.on_discovery_update(net, update);
         self.carry_out(net);
@@ -189,10 +202,36 @@
 
     /// Tells the core what discovery has brought.
     fn on_discovery_update(&mut self, net: &mut Sockets, update: Option<DiscoveryUpdate>) {
-        let Some(update) = update else { return };
-        for endpoint in update.apply(&mut self.core) {
+        let renewed = update.map(|update| update.apply(&mut self.core));
+        for endpoint in renewed.unwrap_or_default() {
             self.drop_idle(net, endpoint);
         }
+        if let Some(wait_ms) = self.discovery.take_started_call() {
+            self.core.on_list_call(wait_ms);
+        }
+    }
+
+    /// Whether it serves by a list that may be acted on, or has waited for one as long as a start may take: a process that
+    /// says no for longer is taken for one that failed.
+    pub fn has_usable_list(&self) -> bool {
+        let limit_ms =
+            if self.core.site().settings.is_large_fleet() { MAX_LARGE_FLEET_START_MS } else { MAX_START_MS };
+        self.core.list_status().allows_attempts || self.core.clock().now() >= self.started_at_ms + limit_ms
+    }
+
+    /// What operators see of the list.
+    pub fn list_figures(&self) -> ListFigures {
+        let status = self.core.list_status();
+        let counters = self.core.counters();
+        ListFigures {
+            version: self.discovery.version().unwrap_or(0),
+            age_seconds: status.age_ms / 1e3,
+            is_confirmed: !matches!(status.state, ListState::Unconfirmed { .. }),
+            answers: counters.lists,
+            failures: counters.list_failures,
+            sent_unconfirmed: counters.sent_unconfirmed,
+            withheld: counters.withheld,
+        }
     }
 
     /// Does what is due by now.
--- a/src/frontend/http/requests.rs
+++ b/src/frontend/http/requests.rs
@@ -167,6 +167,8 @@
     fn on_up(&mut self, net: &mut Sockets, id: ConnId, close: bool) {
         let (status, body) = if self.sends_clients_away() || !self.gate_is_open() {
             (503, "evacuating\n")
+        } else if !self.has_usable_list() {
+            (503, "waiting for the list\n")
         } else {
             (200, "ready\n")
         };
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -9,6 +9,7 @@
 pub mod gearman;
 pub mod handover;
 pub mod http;
+pub mod list_reader;
 pub mod operator;
 pub mod shutdown;
 pub mod streaming;
--- a/src/frontend/streaming/config.rs
+++ b/src/frontend/streaming/config.rs
@@ -247,6 +247,7 @@
                 warm_up: micros(self.cold.warm_s * 1e3),
                 overload_multiple: self.cold.multiple,
                 poll_within: micros(5_000.0),
+                drain_grace: micros(2_000.0),
             },
             // Nor does a server tell when it starts: its answer does.
             reports_start: false,
--- a/src/frontend/streaming/mod.rs
+++ b/src/frontend/streaming/mod.rs
@@ -135,6 +135,9 @@
         self.pipes.reconfigure(config.table.pipes);
         let now = self.now();
         if let Some(discovery) = &mut self.discovery {
+            if discovery.is_other_service(config.table.discovery) {
+                self.core.on_discovery_changed();
+            }
             let update = discovery.follow(net, now, config.table.discovery, &self.core.site().settings);
             self.apply_discovery(net, update);
         } else {
@@ -194,6 +197,9 @@
         for endpoint in update.map(|update| update.apply(&mut self.core)).unwrap_or_default() {
             self.close_idle_upstreams(net, endpoint);
         }
+        if let Some(wait_ms) = self.discovery.as_mut().and_then(Discovery::take_started_call) {
+            self.core.on_list_call(wait_ms);
+        }
     }
 
     /// Carries out what the core has decided, until nothing follows from it any more.
--- a/src/main.rs
+++ b/src/main.rs
@@ -52,6 +52,8 @@
 }
 
 fn run(arguments: Arguments) -> Result<(), String> {
+    // A second subscriber cannot be there: the first one set stays.
+    let _ = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).try_init();
     let mut events: EventLoop<'static, Gateway> = EventLoop::try_new().map_err(|e| e.to_string())?;
     watch_signals(&events.handle())?;
     let Arguments { operator, gearman } = arguments;
@@ -190,8 +192,6 @@
     handle: LoopHandle<'static, Gateway>,
     clock: &Clock,
 ) -> Result<Fleet, String> {
-    // A second subscriber cannot be there: the first one set stays.
-    let _ = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).try_init();
     Fleet::new(config, handle, clock.clone()).map_err(|e| e.to_string())
 }
 
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -29,6 +29,8 @@
     pub eof: bool,
     /// It is broken.
     pub broken: bool,
+    /// It never came up: nobody listens there.
+    pub refused: bool,
     /// The peer takes nothing any more; what it has sent can still be read.
     pub takes_nothing: bool,
     /// It is closed by a reset, so that the peer does not take it for an end.
@@ -79,6 +81,7 @@
             connecting,
             eof: false,
             broken: false,
+            refused: false,
             takes_nothing: false,
             aborts: false,
             closing: false,
@@ -93,7 +96,11 @@
             match self.stream.take_error() {
                 Ok(None) if self.stream.peer_addr().is_ok() => self.connecting = false,
                 Ok(None) => {}
-                _ => self.broken = true,
+                Ok(Some(e)) => {
+                    self.refused = e.kind() == ErrorKind::ConnectionRefused;
+                    self.broken = true;
+                }
+                Err(_) => self.broken = true,
             }
         }
         !(self.connecting || self.broken)
--- a/src/routing/endpoint_list.rs
+++ b/src/routing/endpoint_list.rs
@@ -18,6 +18,16 @@
 /// Calls for the list in one `NOTIFICATION_BOUND` by a small fleet, by the calls that have failed since the
 /// last that did not: six before any failed, two after one, one after more.
 const CALLS_PER_BOUND: [Micros; 3] = [6, 2, 1];
+/// Where dispatchers are few, the first calls of those that start together are this far apart.
+const START_CALL_INTERVAL: Micros = 100_000;
+/// The first calls of a large fleet that starts together are spread over this time: discovery gets through
+/// those of a zone in it. Those of all take it longer, and a call that has waited too long is made again at
+/// its dispatcher's turn.
+const MAX_START_CALL_SPREAD: Micros = 4_200_000;
+/// Failures in a row after which also a call that takes nothing of discovery's time waits for its turn.
+const MAX_CHEAP_RETRIES: u32 = 3;
+/// Time between such a failure and the next call.
+const CHEAP_RETRY_DELAY: Micros = 200_000;
 /// A list that seems to be old is asked for within this part of `NOTIFICATION_BOUND`, at a random time, so
 /// that dispatchers that notice together do not call together.
 const REFRESH_JITTER_DIVISOR: Micros = 12;
@@ -41,18 +51,42 @@
         self.update_endpoints(now, listed, false);
     }
 
-    /// Takes in the list as it was before a restart, and asks for a newer one.
+    /// Takes in the list as it was before a restart, and asks for a newer one. Nothing may be sent by the old
+    /// one, so that the call is soon; dispatchers that start together call one after the other.
     pub(super) fn on_cached_list(&mut self, now: Micros, listed: &[Endpoint]) {
         self.on_list(now, listed);
         if self.settings.must_subscribe {
-            self.schedule_subscription(now);
+            let others = Micros::from(self.settings.dispatchers.saturating_sub(1));
+            let spread = (others * START_CALL_INTERVAL).min(MAX_START_CALL_SPREAD);
+            let offset = golden_section_point(f64::from(self.settings.number)) * spread as f64;
+            self.timers.set(now + offset as Micros, Timer::Subscribe);
         }
     }
 
-    /// A call for the list failed: the next one is a little later.
-    pub(super) fn on_list_failure(&mut self, now: Micros) {
+    /// A call for the list failed. One that took nothing of discovery's time is made again at once, a few
+    /// times in a row; others wait for this dispatcher's turn.
+    pub(super) fn on_list_failure(&mut self, now: Micros, is_cheap: bool) {
         self.list_failures += 1;
-        self.schedule_subscription(now);
+        if is_cheap && self.list_failures <= MAX_CHEAP_RETRIES {
+            self.timers.set(now + CHEAP_RETRY_DELAY, Timer::Subscribe);
+        } else {
+            self.schedule_subscription(now);
+        }
+    }
+
+    /// Asks for the list now.
+    pub(super) fn on_list_wanted(&mut self, now: Micros) {
+        if self.settings.must_subscribe {
+            self.timers.set(now, Timer::Subscribe);
+        }
+    }
+
+    /// Takes in whether attempts may be made by the list. Jobs that were held for that search on.
+    pub(super) fn on_attempts_allowed(&mut self, now: Micros, allowed: bool) {
+        self.attempts_allowed = allowed;
+        if allowed {
+            self.retry_held_jobs(now, &vec![true; self.cycles.len()]);
+        }
     }
 
     /// Asks for the list soon, as an endpoint that fails may have left it. Guards against a watch that has
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -16,6 +16,7 @@
 //! | `router` | which decision an event or a timer calls for |
 //! | `timers` | when the caller has to call again |
 //! | `endpoint_list` | which endpoints there are, and when the list is asked for |
+//! | `list_freshness` | whether the list may be used now, and why not |
 //! | `cycle` | the interleaved cycle, its subset, and the scheduled endpoint of a job |
 //! | `spread` | points that spread dispatchers and turns evenly |
 //! | `overflow` | which endpoint a job is sent to, probed at or held for |
@@ -38,6 +39,7 @@
 mod endpoint_state;
 mod held_jobs;
 mod job_state;
+mod list_freshness;
 mod load_estimate;
 mod overflow;
 mod retries;
@@ -49,6 +51,7 @@
 mod types;
 mod warm_state;
 
+pub use list_freshness::{CallFailure, ListFreshness, ListState, UnconfirmedReason};
 pub use router::Router;
 pub use types::*;
 pub use warm_state::WarmState;
--- a/src/routing/overflow.rs
+++ b/src/routing/overflow.rs
@@ -72,7 +72,7 @@
         if self.settings.is_large_fleet() {
             search.steps = search.steps.max(pending.attempts.len());
         }
-        let mut remaining = self.cycles[cycle].order.len();
+        let mut remaining = if self.attempts_allowed { self.cycles[cycle].order.len() } else { 0 };
         let delay = loop {
             if search.steps >= limits.max_steps || remaining == 0 {
                 if let Some(endpoint) = self.best_endpoint(now, id, &search, &limits) {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -34,6 +34,8 @@
     pub(super) list_failures: u32,
     /// Until when the list is not asked for again though it seems to be old.
     pub(super) list_refresh_blocked_until: Micros,
+    /// Whether attempts may be made by the list that is held.
+    pub(super) attempts_allowed: bool,
 }
 
 /// Running estimates over all endpoints.
@@ -92,6 +94,7 @@
             estimates: Estimates::new(&settings),
             list_failures: 0,
             list_refresh_blocked_until: 0,
+            attempts_allowed: true,
             settings,
         }
     }
@@ -118,7 +121,9 @@
             Event::List(endpoints) => self.on_list(now, endpoints),
             Event::Changes(endpoints) => self.on_list_changes(now, endpoints),
             Event::Cached(endpoints) => self.on_cached_list(now, endpoints),
-            Event::ListFailed => self.on_list_failure(now),
+            Event::ListFailed { is_cheap } => self.on_list_failure(now, is_cheap),
+            Event::AttemptsAllowed(allowed) => self.on_attempts_allowed(now, allowed),
+            Event::ListWanted => self.on_list_wanted(now),
             Event::Job(job) => self.on_job(now, job, out),
             Event::ClientLeft(job) => self.forget_job(job, out),
             Event::Ended(end) => {
--- a/src/routing/slow_start.rs
+++ b/src/routing/slow_start.rs
@@ -55,6 +55,9 @@
     pub(super) fn is_eligible(&self, now: Micros, endpoint: &EndpointState) -> bool {
         let is_ejected = endpoint.ejected_until > now;
         let has_token = endpoint.slow_start_tokens >= 1.0;
-        endpoint.is_ready && !is_ejected && (has_token || self.is_warm(now, endpoint))
+        self.attempts_allowed
+            && endpoint.is_ready
+            && !is_ejected
+            && (has_token || self.is_warm(now, endpoint))
     }
 }
--- a/src/routing/types.rs
+++ b/src/routing/types.rs
@@ -137,6 +137,8 @@
     pub overload_multiple: f64,
     /// Where the list must be subscribed to: the time within which it must be asked.
     pub poll_within: Micros,
+    /// Time from when it is known that an endpoint drains or is gone until nothing new may be sent to it.
+    pub drain_grace: Micros,
 }
 
 /// A line of the endpoint list.
@@ -256,8 +258,15 @@
     Changes(&'a [Endpoint]),
     /// The list as this dispatcher last held it before it was started again.
     Cached(&'a [Endpoint]),
-    /// A subscription failed or broke.
-    ListFailed,
+    /// A call for the list failed, or the subscription broke.
+    ListFailed {
+        /// Whether the call may be made again at once: it took none of the time that discovery has for all.
+        is_cheap: bool,
+    },
+    /// Whether attempts may be made by the list that is held, from now on.
+    AttemptsAllowed(bool),
+    /// The list is to be asked for without waiting for this dispatcher's turn.
+    ListWanted,
     /// A job has come in.
     Job(Job),
     /// The client of this job has left; nothing is owed for it any more.
--- /dev/null
+++ b/src/telemetry/list_figures.rs
@@ -0,0 +1,62 @@
+//! Figures of the endpoint list: which version is held, whether it is confirmed, and what followed where it was not.
+
+use std::fmt;
+
+use super::row;
+
+/// What is read when the figures are asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ListFigures {
+    /// The version that is held.
+    pub version: u64,
+    /// Seconds since the list was last confirmed, or since it is not.
+    pub age_seconds: f64,
+    /// Whether it is confirmed.
+    pub is_confirmed: bool,
+    /// Calls that were answered.
+    pub answers: u64,
+    /// Calls that failed.
+    pub failures: u64,
+    /// Attempts sent while it was not confirmed.
+    pub sent_unconfirmed: u64,
+    /// Jobs that came while no attempt could be made.
+    pub withheld: u64,
+}
+
+impl fmt::Display for ListFigures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = String::new();
+        let mut plain = |name: &str, kind: &str, help: &str, value: f64| {
+            row(&mut text, name, kind, help, &[(String::new(), value)]);
+        };
+        plain("lb_list_version", "gauge", "Version of the list that is held.", self.version as f64);
+        plain(
+            "lb_list_confirmed",
+            "gauge",
+            "1: discovery has confirmed the list, and is watched.",
+            f64::from(u8::from(self.is_confirmed)),
+        );
+        plain(
+            "lb_list_age_seconds",
+            "gauge",
+            "Time since the list was confirmed, or since it is not.",
+            self.age_seconds,
+        );
+        plain(
+            "lb_list_unconfirmed_attempts_total",
+            "counter",
+            "Attempts by a list that was not confirmed.",
+            self.sent_unconfirmed as f64,
+        );
+        plain(
+            "lb_list_withheld_requests_total",
+            "counter",
+            "Requests that came while the list was too old to act on.",
+            self.withheld as f64,
+        );
+        let calls = [("answered", self.answers), ("failed", self.failures)];
+        let calls = calls.map(|(outcome, count)| (format!("{{outcome=\"{outcome}\"}}"), count as f64));
+        row(&mut text, "lb_list_calls_total", "counter", "Calls to discovery by outcome.", &calls);
+        f.write_str(&text)
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,8 +1,12 @@
 //! Figures for operators: counters fed by the core's stages where each event happens, and gauges read when the
 //! figures are asked for, written in the Prometheus text exposition format. No I/O.
 
+mod list_figures;
+
 use std::fmt::Write;
 
+pub use list_figures::ListFigures;
+
 /// How a session ended, as the figures name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disposition {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,6 +46,7 @@
             warm_up: 20 * SECOND,
             overload_multiple: 2.5,
             poll_within: 10 * SECOND,
+            drain_grace: 2 * SECOND,
         },
         reports_start: false,
         reports_load: true,
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -106,11 +106,15 @@
         self.line()
     }
 
-    /// The next line of its log.
+    /// The next plain line of its log; events of `tracing`, which begin with their time, are passed over.
     pub fn line(&mut self) -> String {
-        let mut line = String::new();
-        self.err.read_line(&mut line).unwrap();
-        line
+        loop {
+            let mut line = String::new();
+            let length = self.err.read_line(&mut line).unwrap();
+            if length == 0 || line.starts_with("micabeam: ") {
+                return line;
+            }
+        }
     }
 
     pub fn signal(&self, name: &str) {
@@ -160,6 +164,15 @@
     )
 }
 
+/// A process's first call for the list, which asks for an answer at once: there is no news, and the list of its
+/// configuration is confirmed.
+pub fn confirm_list(call: &mut Http) {
+    let (head, _) = call.read();
+    assert!(head.starts_with("GET /discovery/hosts?since=7&timeout_ms=0 "), "{head}");
+    let body = r#"{"seq": 7, "whole": false, "hosts": []}"#;
+    call.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+}
+
 /// A line of the list.
 pub fn host(name: &str, dial: SocketAddr, health: &str) -> String {
     format!(r#"{{"host": "{name}", "dial": "{dial}", "health": "{health}", "share": 1.0, "born_ms": 0}}"#)
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -228,7 +228,9 @@
     let (well, log) = program.wait();
     assert!(well, "{log}");
     now += "at the end\n";
-    now.extend(log.lines().filter(|line| !line.starts_with("micabeam: ")).map(name));
+    // Beside counters the log has plain lines, and events of `tracing`.
+    let is_counter = |line: &&str| !line.starts_with("micabeam: ") && !line.contains(" INFO micabeam::");
+    now.extend(log.lines().filter(is_counter).map(name));
     assert_fixture("counters.txt", &now);
 }
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -136,6 +136,7 @@
     let ((discovery, at), full, (other, dial)) = (listener(), Full::new(), listener());
     let (_program, address) = start(&patient(at, &[("s-1", full.address)]));
     let mut watch = Http::accept(&discovery);
+    confirm_list(&mut watch);
     watch.read();
     let mut client = Http::connect(address);
     client.submit("confirm-booking", "d1");
@@ -161,6 +162,7 @@
     let ((discovery, at), full) = (listener(), Full::new());
     let (_program, address) = start(&patient(at, &[("s-1", full.address)]));
     let mut watch = Http::accept(&discovery);
+    confirm_list(&mut watch);
     watch.read();
     let mut client = Http::connect(address);
     client.submit("confirm-booking", "b1");
@@ -462,6 +464,7 @@
     let text = config(256, old_at, &[("s-1", dial)]);
     let (mut program, address) = start(&text);
     let mut watch = Http::accept(&old);
+    confirm_list(&mut watch);
     watch.read();
     freeze(&program);
     std::fs::write(
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -112,7 +112,7 @@
         match what {
             0 => fleet[n].handle(now, Event::Cached(&members), &mut out),
             1 => fleet[n].handle(now, Event::Wake, &mut out),
-            2 => fleet[n].handle(now, Event::ListFailed, &mut out),
+            2 => fleet[n].handle(now, Event::ListFailed { is_cheap: false }, &mut out),
             _ => {
                 told.entry(n).or_insert(now);
                 fleet[n].handle(now, Event::List(&members), &mut out);
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -76,7 +76,7 @@
             let mut out = Vec::new();
             match next {
                 Next::Wake => fleet[n].handle(now, Event::Wake, &mut out),
-                Next::Failed => fleet[n].handle(now, Event::ListFailed, &mut out),
+                Next::Failed => fleet[n].handle(now, Event::ListFailed { is_cheap: false }, &mut out),
                 Next::Told => {
                     told[n].get_or_insert(now - self.back);
                     fleet[n].handle(now, Event::List(&members), &mut out);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -288,6 +288,7 @@
     let ((discovery, at), (worker, dial)) = (listener(), listener());
     let (_program, address) = platform(at, &[("s-1", nobody()), ("s-2", dial)]);
     let mut watch = Http::accept(&discovery);
+    confirm_list(&mut watch);
     assert!(watch.read().0.contains("since=7&"));
     let (mut calls, mut jobs) = (Http::connect(address), 0);
     discovery.set_nonblocking(true).unwrap();
@@ -347,6 +348,7 @@
     let ((worker, dial), (next, next_dial)) = (listener(), listener());
     let (mut program, address) = platform(old_at, &[("s-1", dial)]);
     let mut watch = Http::accept(&old);
+    confirm_list(&mut watch);
     watch.read();
     let (mut client, mut calls) = (Http::connect(address), Http::connect(address));
     client.submit("confirm-booking", "r1");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -317,13 +317,16 @@
     let within = settings.rules.poll_within;
     let mut world = World::new(settings, &[]);
     let members = fleet(2);
-    world.handle(Event::Cached(&members));
-    for failures in 0..3 {
+    let asks = |actions: Vec<Action>| actions.contains(&Action::Subscribe);
+    let mut asked = asks(world.handle(Event::Cached(&members)));
+    assert!(asked, "one dispatcher alone asks at once");
+    for failures in 0..5 {
         let start = world.now;
-        while !world.wait(50 * MS).contains(&Action::Subscribe) {
+        while !asked {
             assert!(world.now < start + within, "asked within the time, {failures} failures before");
+            asked = asks(world.wait(50 * MS));
         }
-        world.handle(Event::ListFailed);
+        asked = asks(world.handle(Event::ListFailed { is_cheap: failures % 2 == 0 }));
     }
 }
 
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -1,7 +1,11 @@
 //! Stories of an upgrade: two or three processes of the program at one address, and call-backs that reach any of them.
 
+#[path = "common/crossing.rs"]
+mod crossing;
 #[path = "common/net.rs"]
 mod net;
+#[path = "common/stand_ins.rs"]
+mod stand_ins;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,6 +14,7 @@
 use std::time::Instant;
 
 use net::*;
+use stand_ins::{Mode, StandInDiscovery};
 
 /// An installation: an address of its own that processes share, their notes, and one booking worker.
 struct Site {
@@ -230,24 +235,16 @@
 #[test]
 fn the_new_process_knows_the_drains_that_the_old_one_was_told() {
     let mut site = Site::new();
-    let ((drained, other), (lists, discovery)) = (listener(), listener());
+    let (drained, other) = listener();
     let dial = site.worker.local_addr().unwrap();
-    site.config = config(256, discovery, &[("s-1", dial), ("s-2", other)])
+    let hosts = [host("s-1", dial, "up"), host("s-2", other, "draining")].join(",");
+    let discovery = StandInDiscovery::start(9, &hosts);
+    site.config = config(256, discovery.address, &[("s-1", dial), ("s-2", other)])
         .replacen('{', r#"{"console": "127.0.0.1:0", "#, 1)
         .replace(r#""listen": "127.0.0.1:0""#, &format!(r#""listen": "{}""#, site.address));
     let (old, _) = site.start();
-    let mut watch = Http::accept(&lists);
-    watch.read();
-    let body = format!(
-        r#"{{"seq": 9, "whole": true, "hosts": [{}, {}]}}"#,
-        host("s-1", dial, "up"),
-        host("s-2", other, "draining")
-    );
-    watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-    let end = Instant::now() + PATIENCE;
-    while counter_of(&site, &old, "lists") == 0 {
-        assert!(Instant::now() < end);
-    }
+    assert!(counter_of(&site, &old, "lists") > 0, "ready with its first list");
+    discovery.treat(Mode::Silent, u64::MAX);
     let (new, _) = site.start();
     for n in 0..6 {
         let id = format!("d{n}");
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -12,6 +12,7 @@
 /// What one process asks of discovery: the first call's wait, and how long after it the next call came.
 fn silent_watch(listener: &TcpListener, list: &str) -> (Duration, Duration, String) {
     let mut watch = Http::accept(listener);
+    confirm_list(&mut watch);
     let (head, _) = watch.read();
     let began = Instant::now();
     let wait = head.split("timeout_ms=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
