Slow start: a fifth of each turn's tokens is left out, however cold the server

Cause: the bound of a cold server was met in the first seconds after its start, where no margin was left for chance: the margin grew with warmth. Change: the margin is the same at any warmth.

--- a/src/routing/slow_start.rs
+++ b/src/routing/slow_start.rs
@@ -8,7 +8,8 @@
 use super::spread::pair_point;
 use super::types::{EndpointId, Micros};
 
-/// Part of a turn's tokens that is left out for a warm endpoint; in proportion less for a colder one.
+/// Part of a turn's tokens that is left out: what is left for chance, and for jobs of more than mean work that
+/// come together, while jobs come faster than all endpoints can do.
 const TOKEN_MARGIN: f64 = 0.2;
 /// Most tokens that an endpoint saves, in jobs: a little over one job, so that none comes in bursts.
 const MAX_TOKENS: f64 = 1.5;
@@ -19,11 +20,9 @@
     pair_point(dispatcher, endpoint.0)
 }
 
-/// What a turn of an endpoint adds to its tokens, in jobs: its slow-start fraction, less a margin that grows
-/// with it. The warmer it is, the less of its bound is left for chance, while jobs come faster than all
-/// endpoints can do.
+/// What a turn of an endpoint adds to its tokens, in jobs: its slow-start fraction, less a margin.
 fn tokens_per_turn(slow_start_fraction: f64) -> f64 {
-    slow_start_fraction * (1.0 - TOKEN_MARGIN * slow_start_fraction)
+    slow_start_fraction * (1.0 - TOKEN_MARGIN)
 }
 
 impl Router {
