List freshness: discovery that is down is told by failures in a row; each way in tested

A watch that broke was counted as in force until the end of its wait, found by the new tests. Change: failures since the last answer are weighed: two calls that fail after a while, or a broken watch and such a call, or three connections that break at once, or one refused connection. A broken watch counts from its break, a silent one from its wait.

--- a/src/core/list_status.rs
+++ b/src/core/list_status.rs
@@ -47,13 +47,11 @@
     /// Counts and logs a call that failed. Gives how long it was out.
     pub(super) fn record_list_failure(&mut self, failure: CallFailure) -> Micros {
         self.statistics.counters.list_failures += 1;
-        let before = self.list_freshness.state();
-        let lasted = self.list_freshness.on_failure(micros(self.clock.now()), failure);
-        let after = self.list_freshness.state();
-        if let ListState::Unconfirmed { reason, .. } = after
-            && !matches!(before, ListState::Unconfirmed { reason: known, .. } if known == reason)
-        {
-            info!(reason = reason.name(), call_ms = millis(lasted), "list unconfirmed");
+        let now = micros(self.clock.now());
+        let lasted = self.list_freshness.on_failure(now, failure);
+        if let ListState::Unconfirmed { since, reason } = self.list_freshness.state() {
+            let (call_ms, since_ms) = (millis(lasted), millis(now.saturating_sub(since)));
+            info!(reason = reason.name(), call_ms, since_ms, "list unconfirmed");
         }
         lasted
     }
--- a/src/routing/list_freshness.rs
+++ b/src/routing/list_freshness.rs
@@ -31,14 +31,16 @@
 /// A change of the configuration to another discovery counts as notified after this time.
 const SERVICE_CHANGE_BOUND: Micros = 4_000_000;
 /// Discovery refuses a call that has waited for its turn this long: a long poll that is older waits for news.
-const POLL_ACCEPTED_AFTER: Micros = 3_200_000;
+const POLL_ACCEPTED_AFTER: Micros = 2_500_000;
 /// A call that fails sooner has not waited for its turn.
 const QUICK_FAILURE: Micros = 250_000;
-/// So many quick failures in a row say that discovery is down; fewer may be connections that broke.
-const QUICK_FAILURES_WHEN_DOWN: u32 = 3;
-/// So many calls in a row that are never answered say that discovery is down; one may be a connection that
-/// fell silent.
-const SILENT_CALLS_WHEN_DOWN: u32 = 2;
+/// Discovery counts as down when what has failed in a row weighs so much. A call that fails does not say
+/// whether discovery is down or crowded; that one fails after another does, as calls come one in 6 s.
+const DOWN_EVIDENCE: u32 = 3;
+/// Weight of a call that failed at once, or of a watch that broke: its connection may have been reset alone.
+const BROKEN_CONNECTION_EVIDENCE: u32 = 1;
+/// Weight of a call that failed after a while, or was never answered.
+const FAILED_CALL_EVIDENCE: u32 = 2;
 
 /// How a call for the list failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,24 +131,36 @@
     wait: Micros,
 }
 
-/// What the last failures say of discovery itself.
+impl ListCall {
+    /// Whether it is a long poll that discovery has had the time to refuse.
+    fn is_accepted_poll(&self, now: Micros) -> bool {
+        self.wait > 0 && now >= self.started_at + POLL_ACCEPTED_AFTER
+    }
+}
+
+/// What the failures since the last answer say of discovery itself.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reachability {
-    quick_failures: u32,
-    silent_calls: u32,
+    down_evidence: u32,
 }
 
 impl Reachability {
     /// Takes in a failure. Gives the time at which discovery could not be reached, where that is shown.
-    fn on_failure(&mut self, now: Micros, started_at: Micros, failure: CallFailure) -> Option<Micros> {
-        let is_quick = failure == CallFailure::Broken && now < started_at + QUICK_FAILURE;
-        let is_silent = failure == CallFailure::Silent;
-        self.quick_failures = if is_quick { self.quick_failures + 1 } else { 0 };
-        self.silent_calls = if is_silent { self.silent_calls + 1 } else { 0 };
-        let is_down = failure == CallFailure::Refused
-            || self.quick_failures >= QUICK_FAILURES_WHEN_DOWN
-            || self.silent_calls >= SILENT_CALLS_WHEN_DOWN;
-        is_down.then_some(started_at)
+    fn on_failure(&mut self, now: Micros, call: &ListCall, failure: CallFailure) -> Option<Micros> {
+        let is_quick = now < call.started_at + QUICK_FAILURE;
+        let evidence = match failure {
+            CallFailure::Refused => DOWN_EVIDENCE,
+            CallFailure::Broken if is_quick || call.is_accepted_poll(now) => BROKEN_CONNECTION_EVIDENCE,
+            CallFailure::Broken | CallFailure::Silent => FAILED_CALL_EVIDENCE,
+            CallFailure::Incomplete | CallFailure::Stale => {
+                // It has answered.
+                self.down_evidence = 0;
+                0
+            }
+            CallFailure::Local => 0,
+        };
+        self.down_evidence = self.down_evidence.saturating_add(evidence);
+        (evidence > 0 && self.down_evidence >= DOWN_EVIDENCE).then_some(call.started_at)
     }
 }
 
@@ -205,16 +219,19 @@
     /// Another discovery is asked from now on.
     pub fn on_service_changed(&mut self, now: Micros) {
         if self.state != ListState::Fixed {
+            self.usable_until = self.usable_until(now).min(now + SERVICE_CHANGE_BOUND + self.grace);
             self.call = None;
             self.reachability = Reachability::default();
-            self.usable_until = self.usable_until(now).min(now + SERVICE_CHANGE_BOUND + self.grace);
             self.unconfirm(now, UnconfirmedReason::ServiceChanged);
         }
     }
 
     /// A call goes out that may wait so long for news.
     pub fn on_call(&mut self, now: Micros, wait: Micros) {
-        self.usable_until = self.usable_until(now);
+        // A watch that is replaced may have been alive until now, or silent.
+        if let Some(end) = self.poll_usable_until(now) {
+            self.extend(end.min(now + self.notification_bound + self.grace));
+        }
         self.call = Some(ListCall { started_at: now, wait });
     }
 
@@ -235,21 +252,20 @@
         if self.state == ListState::Fixed {
             return lasted;
         }
-        self.usable_until = self.usable_until(now);
-        let was_accepted = self.poll_usable_until(now).is_some();
+        let poll_usable_until = self.poll_usable_until(now);
         self.call = None;
-        if was_accepted && failure != CallFailure::Silent {
-            self.extend(now + self.notification_bound + self.grace);
+        match (poll_usable_until, failure) {
+            (None, _) => {}
+            (Some(end), CallFailure::Silent) => self.extend(end),
+            // Until it broke it would have brought a change.
+            (Some(_), _) => self.extend(now + self.notification_bound + self.grace),
         }
         if failure == CallFailure::Incomplete {
             self.usable_until = self.usable_until.min(now + self.grace);
         }
         // An agent is silent while discovery is down, and tells nothing then.
-        let down_at = if self.has_agent {
-            Some(now)
-        } else {
-            self.reachability.on_failure(now, call.started_at, failure)
-        };
+        let down_at =
+            if self.has_agent { Some(now) } else { self.reachability.on_failure(now, &call, failure) };
         if let Some(down_at) = down_at {
             self.extend(down_at + self.notification_bound + self.grace);
         }
@@ -294,9 +310,8 @@
 
     /// Until when the list may be used on the strength of the long poll that is out.
     fn poll_usable_until(&self, now: Micros) -> Option<Micros> {
-        let call = self.call.filter(|call| call.wait > 0 && !self.has_agent)?;
-        let is_accepted = now >= call.started_at + POLL_ACCEPTED_AFTER;
-        is_accepted.then_some(call.started_at + call.wait + POLL_NOTIFICATION_BOUND + self.grace)
+        let call = self.call.filter(|call| call.is_accepted_poll(now) && !self.has_agent)?;
+        Some(call.started_at + call.wait + POLL_NOTIFICATION_BOUND + self.grace)
     }
 
     fn extend(&mut self, usable_until: Micros) {
--- a/tests/list_freshness.rs
+++ b/tests/list_freshness.rs
@@ -12,6 +12,7 @@
 //! restarted dispatcher sent to a removed server 0.3 s after its start, and its first call went out after 5.9 s. Over 51
 //! such dispatchers the first list came after 0.1 to 6.0 s. The tests here make the same order over loopback.
 
+mod common;
 #[path = "common/crossing.rs"]
 mod crossing;
 #[path = "common/net.rs"]
@@ -87,3 +88,230 @@
         story.join().unwrap();
     }
 }
+
+/// What a restarted dispatcher of a small fleet does while its first calls go wrong in one way.
+fn restarted_while(mode: Mode, calls: u64) -> (u64, u64, u64) {
+    let service = std::cell::RefCell::new(None);
+    let restarted = Restarted::start(0, 3, |hosts| {
+        let discovery = StandInDiscovery::start(9, hosts);
+        discovery.treat(mode, calls);
+        let address = discovery.address;
+        *service.borrow_mut() = Some(discovery);
+        address
+    });
+    wait_until_ready(restarted.address, READY_WITHIN);
+    let (served, other) = submit_for(restarted.address, "job", Duration::from_millis(500));
+    (restarted.removed.jobs(), served, other)
+}
+
+/// One connection that breaks, one answer that is cut off, one call that is never answered do not say that discovery is down.
+/// Guards against a first call that fails and leaves the old list in force until the next one.
+#[test]
+fn a_first_call_that_goes_wrong_leaves_no_old_list_in_force() {
+    let stories = [(Mode::Resets, 2), (Mode::Fails, 2), (Mode::Truncates, 1), (Mode::Silent, 1)]
+        .map(|(mode, calls)| (mode, thread::spawn(move || restarted_while(mode, calls))));
+    for (mode, story) in stories {
+        let (at_removed, served, other) = story.join().unwrap();
+        assert_eq!(at_removed, 0, "{mode:?}: jobs at the removed server");
+        assert!(served > 5 && other == 0, "{mode:?}: {served} served, {other} not");
+    }
+}
+
+/// Guards against a fleet that turns everything away while discovery is down: nothing newer can count as told then.
+#[test]
+fn while_discovery_is_down_a_restarted_dispatcher_serves_by_the_list_that_it_has() {
+    let stories = [Mode::Resets, Mode::Fails, Mode::Silent]
+        .map(|mode| (mode, thread::spawn(move || restarted_while(mode, u64::MAX))));
+    for (mode, story) in stories {
+        let (_, served, other) = story.join().unwrap();
+        assert!(served > 5 && other == 0, "{mode:?}: {served} served, {other} not");
+    }
+}
+
+/// A process stands still for longer than a removal may go unnoticed, and the removal waits in its socket when it wakes, as
+/// does a job. Guards against what is done first being done by what was known before.
+#[test]
+fn a_dispatcher_that_was_held_up_sends_nothing_by_the_list_of_before() {
+    let (removed, alive) = (JobServer::listen("s-1"), JobServer::listen("s-2"));
+    let (first, second) = (host("s-1", removed.address, "up"), host("s-2", alive.address, "up"));
+    let discovery = StandInDiscovery::start(8, &[first, second.clone()].join(","));
+    let known = [("s-1", removed.address), ("s-2", alive.address)];
+    let mut program = Program::start(Some(&fleet_member(0, 3, discovery.address, &known)), None);
+    let address = program.address();
+    removed.serve(address);
+    alive.serve(address);
+    wait_until_ready(address, READY_WITHIN);
+    let (served, _) = submit_for(address, "before", Duration::from_millis(300));
+    assert!(served > 0 && removed.jobs() > 0);
+    let mut clients: Vec<Http> = (0..6).map(|_| Http::connect(address)).collect();
+    for client in &mut clients {
+        client.write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.read();
+    }
+    crossing::freeze(&program);
+    let before = removed.jobs();
+    discovery.publish(9, &second);
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.submit("avail-search", &format!("held-{number}"));
+    }
+    thread::sleep(Duration::from_secs(10));
+    crossing::thaw(&program);
+    for client in &mut clients {
+        // The class's time is over for some: a rejection does no harm.
+        assert!(!client.read().0.is_empty());
+    }
+    let (served, _) = submit_for(address, "after", Duration::from_millis(300));
+    assert!(served > 0);
+    assert_eq!(removed.jobs(), before, "jobs at the removed server");
+}
+
+mod on_a_set_clock {
+    //! The decision itself, event by event.
+
+    use micabeam::routing::{CallFailure, ListFreshness, ListState, Micros, Settings};
+
+    use crate::common::{MS, SECOND, settings};
+
+    /// A change counts as told after 6 s and is followed 2 s later; 0.3 s are left for a process that stands still.
+    const BOUND: Micros = 7_700 * MS;
+    const GRACE: Micros = 1_700 * MS;
+    const START: Micros = 100 * SECOND;
+
+    fn asking() -> Settings {
+        Settings { must_subscribe: true, ..settings() }
+    }
+
+    fn started() -> ListFreshness {
+        let mut list = ListFreshness::fixed(&asking());
+        list.on_start(START);
+        list
+    }
+
+    /// A list that was confirmed at `START`, with a watch from then on.
+    fn watching(wait: Micros) -> ListFreshness {
+        let mut list = started();
+        list.on_call(START, 0);
+        list.on_answer(START);
+        list.on_call(START, wait);
+        list
+    }
+
+    fn fail(list: &mut ListFreshness, from: Micros, until: Micros, failure: CallFailure) {
+        list.on_call(from, 0);
+        list.on_failure(until, failure);
+    }
+
+    #[test]
+    fn a_list_of_a_file_is_always_in_force() {
+        let mut list = ListFreshness::fixed(&asking());
+        list.on_failure(START, CallFailure::Silent);
+        list.on_service_changed(START);
+        assert!(list.allows_attempts(START + 3600 * SECOND));
+        assert_eq!((list.state(), list.next_change(START)), (ListState::Fixed, None));
+    }
+
+    #[test]
+    fn crowded_discovery_keeps_a_new_process_waiting_and_two_failed_calls_count_as_an_outage() {
+        let mut list = started();
+        assert!(!list.allows_attempts(START));
+        fail(&mut list, START, START + 2 * SECOND, CallFailure::Broken);
+        assert!(!list.allows_attempts(START + 2 * SECOND));
+        fail(&mut list, START + 5 * SECOND, START + 7 * SECOND, CallFailure::Broken);
+        assert!(list.allows_attempts(START + 7 * SECOND));
+        assert!(!list.allows_attempts(START + 5 * SECOND + BOUND), "each failure counts from its call");
+    }
+
+    #[test]
+    fn an_answer_between_two_failures_is_no_outage() {
+        let mut list = started();
+        for round in 0..4 {
+            let now = START + round * 20 * SECOND;
+            fail(&mut list, now, now + 2 * SECOND, CallFailure::Broken);
+            assert!(!list.allows_attempts(now + 2 * SECOND), "round {round}");
+            fail(&mut list, now + 3 * SECOND, now + 3 * SECOND + MS, CallFailure::Incomplete);
+            fail(&mut list, now + 4 * SECOND, now + 6 * SECOND, CallFailure::Broken);
+            assert!(!list.allows_attempts(now + 6 * SECOND), "round {round}");
+            list.on_answer(now + 7 * SECOND);
+            assert!(list.allows_attempts(now + 7 * SECOND));
+        }
+    }
+
+    #[test]
+    fn a_watch_that_breaks_is_made_good_within_the_bound_from_then() {
+        let mut list = watching(30 * SECOND);
+        let broke = START + 12 * SECOND;
+        assert!(list.allows_attempts(broke));
+        list.on_failure(broke, CallFailure::Broken);
+        assert!(list.allows_attempts(broke + BOUND - MS));
+        assert!(!list.allows_attempts(broke + BOUND));
+        assert_eq!(list.next_change(broke), Some(broke + BOUND));
+    }
+
+    #[test]
+    fn a_long_poll_that_waits_for_its_turn_at_discovery_is_no_watch_yet() {
+        let mut list = watching(30 * SECOND);
+        list.on_failure(START + 2 * SECOND, CallFailure::Broken);
+        assert!(!list.allows_attempts(START + BOUND), "it counts from the last answer");
+        list.on_call(START + 6 * SECOND, 30 * SECOND);
+        assert!(!list.allows_attempts(START + BOUND));
+        assert!(list.allows_attempts(START + 9 * SECOND), "discovery would have refused it by now");
+    }
+
+    #[test]
+    fn a_silent_watch_is_in_force_until_its_wait_counts_as_over() {
+        let mut list = watching(5 * SECOND);
+        list.on_failure(START + 6 * SECOND, CallFailure::Silent);
+        list.on_call(START + 6 * SECOND, 0);
+        let end = START + 5 * SECOND + 2 * SECOND + GRACE;
+        assert!(list.allows_attempts(end - MS) && !list.allows_attempts(end));
+    }
+
+    #[test]
+    fn an_answer_that_was_cut_off_counts_as_told() {
+        let mut list = watching(30 * SECOND);
+        let now = START + 10 * SECOND;
+        list.on_failure(now, CallFailure::Incomplete);
+        assert!(list.allows_attempts(now + GRACE - MS) && !list.allows_attempts(now + GRACE));
+    }
+
+    #[test]
+    fn a_call_that_could_not_be_made_says_nothing_of_discovery() {
+        let mut list = watching(30 * SECOND);
+        list.on_failure(START + 10 * SECOND, CallFailure::Broken);
+        for at in 11..40 {
+            fail(&mut list, START + at * SECOND, START + at * SECOND, CallFailure::Local);
+        }
+        assert!(!list.allows_attempts(START + 10 * SECOND + BOUND));
+    }
+
+    #[test]
+    fn a_process_that_stood_still_notices_it() {
+        let mut list = watching(5 * SECOND);
+        let woken = START + 60 * SECOND;
+        assert!(!list.allows_attempts(woken));
+        assert!(list.expire(woken) && !list.expire(woken), "told once");
+        list.on_answer(woken);
+        assert!(list.allows_attempts(woken));
+    }
+
+    #[test]
+    fn another_discovery_is_followed_within_its_time() {
+        let mut list = watching(30 * SECOND);
+        let changed = START + 10 * SECOND;
+        list.on_service_changed(changed);
+        let end = changed + 4 * SECOND + GRACE;
+        assert!(list.allows_attempts(end - MS) && !list.allows_attempts(end));
+    }
+
+    #[test]
+    fn an_agent_that_is_silent_leaves_its_list_in_force() {
+        let mut list = ListFreshness::fixed(&settings());
+        list.on_start(START);
+        let mut now = START;
+        for _ in 0..20 {
+            assert!(list.allows_attempts(now));
+            fail(&mut list, now, now + 1_500 * MS, CallFailure::Silent);
+            now += 1_700 * MS;
+        }
+    }
+}
