--- a/src/routing/list_freshness.rs
+++ b/src/routing/list_freshness.rs
@@ -60,8 +60,8 @@
 }
 
 impl CallFailure {
-    /// Whether the call may be made again at once, rather than at this dispatcher's next turn: it took none of
-    /// the time that discovery has for all.
+    /// Whether the call may be made again at once, rather than at this dispatcher's next turn: it took none
+    /// of the time that discovery has for all.
     pub fn is_cheap(self, lasted: Micros) -> bool {
         match self {
             CallFailure::Broken => lasted < QUICK_FAILURE,
