--- a/src/frontend/http/clients.rs
+++ b/src/frontend/http/clients.rs
@@ -5,7 +5,7 @@
 
 use super::HttpFrontend;
 use crate::frontend::Sockets;
-use crate::net::{Budget, ConnId};
+use crate::net::{AcceptState, Budget, ConnId};
 use crate::routing::JobId;
 
 /// How long a client may be silent while it owes the rest of a request, or its first byte, in milliseconds.
@@ -19,6 +19,8 @@
 /// How long a connection without a request is left alone while the program stops, in milliseconds: a new one may yet bring
 /// its first callback.
 const MIN_IDLE_BEFORE_CLOSE_MS: f64 = 250.0;
+/// How long a listener that is to be closed may stay open while the system refuses to accept, in milliseconds.
+const MAX_LISTENER_CLOSE_MS: f64 = 500.0;
 /// Connections accepted before other events of the loop have their turn.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
@@ -187,6 +189,19 @@
         }
     }
 
+    /// Closes the listener once what waits there is accepted: at the close the system resets the rest. Where it refuses to
+    /// accept for a while, the listener stays open until `tick` has tried again, for a bounded time.
+    pub(super) fn close_listener_when_empty(&mut self, net: &mut Sockets) {
+        let now_ms = self.core.clock().now();
+        let give_up_ms = *self.listener_close_by_ms.get_or_insert(now_ms + MAX_LISTENER_CLOSE_MS);
+        self.accept_all(net);
+        let is_paused = net.accept_state(self.clients.listener) == AcceptState::Paused;
+        self.is_closing_listener = is_paused && now_ms < give_up_ms;
+        if !self.is_closing_listener {
+            net.close_listener(self.clients.listener);
+        }
+    }
+
     /// Ends a connection once its last response is written: this side first, since a close with bytes unread would take the
     /// response back.
     pub(super) fn linger(&mut self, net: &mut Sockets, id: ConnId) {
@@ -276,8 +291,7 @@
     /// has come is rejected; then every connection is ended gently. Guards against an exit that resets them.
     pub(super) fn close_all(&mut self, net: &mut Sockets) {
         self.core.reject_new_jobs();
-        self.accept_all(net);
-        net.close_listener(self.clients.listener);
+        self.close_listener_when_empty(net);
         for id in self.clients.connections.keys().copied().collect::<Vec<_>>() {
             self.on_client_ready(net, id);
             if self.clients.connections.get(&id).is_some_and(Client::is_idle) {
--- a/src/frontend/http/mod.rs
+++ b/src/frontend/http/mod.rs
@@ -77,6 +77,10 @@
     shutdown: Option<Shutdown>,
     /// Whether the last connections are being ended.
     is_closing_all: bool,
+    /// Whether the listener is to be closed and could not be emptied yet.
+    is_closing_listener: bool,
+    /// When the listener is closed whatever waits there, in milliseconds of the clock.
+    listener_close_by_ms: Option<f64>,
     /// Whether clients are sent away: `/up` says no, and connections are closed once they are idle.
     evacuating: bool,
     /// When the process started, in milliseconds of the clock.
@@ -100,6 +104,8 @@
             gate: None,
             shutdown: None,
             is_closing_all: false,
+            is_closing_listener: false,
+            listener_close_by_ms: None,
             evacuating: false,
             started_at_ms: 0.0,
             next_evacuation_ms: f64::INFINITY,
@@ -244,6 +250,9 @@
         let update = self.discovery.tick(net, self.core.clock().now(), &self.core.site().settings);
         self.on_discovery_update(net, update);
         self.carry_out(net);
+        if self.is_closing_listener {
+            self.close_listener_when_empty(net);
+        }
         let now_ms = self.core.clock().now();
         self.sweep_clients(net, now_ms);
         self.sweep_gate(net, now_ms);
@@ -285,7 +294,11 @@
     fn stop_deadline(&self) -> f64 {
         let Some(shutdown) = self.shutdown else { return f64::INFINITY };
         let now_ms = self.core.clock().now();
-        if now_ms < shutdown.last_call_ms { shutdown.last_call_ms } else { now_ms + STOP_INTERVAL_MS }
+        if now_ms < shutdown.last_call_ms && !self.is_closing_listener {
+            shutdown.last_call_ms
+        } else {
+            now_ms + STOP_INTERVAL_MS
+        }
     }
 
     /// Sends clients away, or takes them again. What is open is finished, and answered with a close.
@@ -311,8 +324,7 @@
         }
         self.shutdown = Some(Shutdown::begin(&mut self.core));
         if has_successor {
-            self.accept_all(net);
-            net.close_listener(self.clients.listener);
+            self.close_listener_when_empty(net);
             self.evacuate(net, true);
         }
     }
@@ -332,6 +344,9 @@
             self.close_all(net);
             self.carry_out(net);
         }
+        if self.is_closing_listener {
+            return false;
+        }
         let now_ms = self.core.clock().now();
         let clients = &self.clients;
         self.shutdown.as_mut().is_some_and(|shutdown| shutdown.is_over(now_ms, || clients.all_ended()))
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -247,14 +247,23 @@
 
     /// Whether it is idle and usable: the socket shows neither an end nor stray bytes.
     pub fn is_fresh(&self) -> bool {
-        let has_nothing_to_read =
-            matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
-        has_nothing_to_read
+        self.has_nothing_to_read()
             && !(self.connecting || self.eof || self.broken)
             && self.rx.is_empty()
             && self.tx.is_empty()
     }
 
+    /// Whether the socket shows neither bytes, nor an end, nor an error. A signal during the call says nothing of it.
+    fn has_nothing_to_read(&self) -> bool {
+        loop {
+            match self.stream.peek(&mut [0]) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == ErrorKind::WouldBlock,
+                Ok(_) => return false,
+            }
+        }
+    }
+
     /// Ends this side; the peer can still be read.
     pub fn end_writing(&mut self) {
         if let Some(tls) = &mut self.tls {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,27 +13,27 @@
 mod conn;
 pub mod head;
 pub mod http;
+mod listener;
 mod pool;
 mod ring;
 mod splice;
 
-use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener};
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::{Interest, LoopHandle, Mode, PostAction};
 use rustc_hash::FxHashMap;
-use socket2::{Domain, Socket, Type};
 
 pub use budget::Budget;
 pub use conn::{Conn, MAX_BUFFERED_BYTES};
+pub use listener::AcceptState;
 pub use pool::Pool;
 pub use ring::Ring;
 pub use splice::{PIPE_CAPACITY_BYTES, Pipe, Pipes};
 
-/// Connections that may wait to be accepted at a listener.
-const MAX_WAITING_CONNECTIONS: i32 = 1024;
+use listener::Listener;
 
 /// A connection's id, never used again.
 pub type ConnId = u64;
@@ -50,8 +50,8 @@
 pub struct Net<H: Handler> {
     handle: LoopHandle<'static, H>,
     conns: FxHashMap<ConnId, Conn>,
-    /// Listeners by number, each with its token in the event loop; none once closed.
-    listeners: Vec<Option<(Rc<TcpListener>, RegistrationToken)>>,
+    /// Listeners by number; none once closed.
+    listeners: Vec<Option<Listener>>,
     last: ConnId,
 }
 
@@ -67,51 +67,34 @@
     /// # Errors
     /// Where the socket cannot be opened, bound, or registered for events.
     pub fn listen(&mut self, address: SocketAddr, shared: bool) -> io::Result<(usize, SocketAddr)> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        // A port that the system picks cannot be known to a successor; shared, it could be one that another
-        // listener of the same user holds already.
-        if shared && address.port() != 0 {
-            socket.set_reuse_port(true)?;
-        }
-        socket.bind(&address.into())?;
-        socket.listen(MAX_WAITING_CONNECTIONS)?;
-        socket.set_nonblocking(true)?;
-        let listener = Rc::new(TcpListener::from(socket));
-        let (number, local) = (self.listeners.len(), listener.local_addr()?);
-        // Level-triggered: what is left in the backlog is told again.
-        let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
-        let token = self
-            .handle
-            .insert_source(source, move |_, _, handler: &mut H| {
-                handler.on_connections_waiting(number);
-                Ok(PostAction::Continue)
-            })
-            .map_err(|e| io::Error::other(e.to_string()))?;
-        self.listeners.push(Some((listener, token)));
+        let number = self.listeners.len();
+        let (listener, local) = Listener::open(&self.handle, address, shared, number)?;
+        self.listeners.push(Some(listener));
         Ok((number, local))
     }
 
     /// Closes a listener. Connections that wait are reset by the system: accept them first.
     pub fn close_listener(&mut self, listener: usize) {
-        if let Some((_, token)) = self.listeners.get_mut(listener).and_then(Option::take) {
-            self.handle.remove(token);
+        if let Some(listener) = self.listeners.get_mut(listener).and_then(Option::take) {
+            listener.close(&self.handle);
         }
     }
 
-    /// Accepts one connection, if one waits.
+    /// Accepts one connection, if one waits and the system lets it.
     pub fn accept(&mut self, listener: usize) -> Option<ConnId> {
-        loop {
-            let (open, _) = self.listeners.get(listener).and_then(Option::as_ref)?;
-            match open.accept() {
-                Ok((stream, _)) => match Conn::accepted(stream).and_then(|conn| self.add(conn)) {
-                    Ok(id) => return Some(id),
-                    Err(e) => crate::say(format_args!("an accepted connection was dropped: {e}")),
-                },
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(_) => return None,
+        while let Some(stream) = self.listeners.get_mut(listener)?.as_mut()?.accept(&self.handle) {
+            match Conn::accepted(stream).and_then(|conn| self.add(conn)) {
+                Ok(id) => return Some(id),
+                Err(e) => crate::say(format_args!("an accepted connection was dropped: {e}")),
             }
         }
+        None
+    }
+
+    /// Whether a listener's backlog was emptied by the last `accept`, or connections may wait there still.
+    pub fn accept_state(&self, listener: usize) -> AcceptState {
+        let listener = self.listeners.get(listener).and_then(Option::as_ref);
+        listener.map_or(AcceptState::Empty, Listener::state)
     }
 
     /// Starts to open a connection.
