--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod relay;
 pub mod rollout;
 pub mod scale;
+pub mod soak;
 pub mod stores;
 pub mod streams;
 pub mod upgrade;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use micabeam_rig::streams::{Plan, ladder};
-use micabeam_rig::{RigError, dispatch, rollout, scale, stores, streams, upgrade};
+use micabeam_rig::{RigError, dispatch, rollout, scale, soak, stores, streams, upgrade};
 
 /// Experiments with the real program among stand-in peers, on loopback. The last line of each is figures, as
 /// key=value; it ends non-zero where its proof fails.
@@ -57,6 +57,21 @@
         #[arg(long, default_value_t = 400)]
         pipes: usize,
     },
+    /// Real dispatchers while lists, processes, system calls and clocks go wrong, held to every rule
+    Soak {
+        /// Processes
+        #[arg(long, default_value_t = 6)]
+        dispatchers: usize,
+        /// How long faults go on
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Decides faults and requests
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Another build of the program, to see what the checker finds in it
+        #[arg(long)]
+        binary: Option<std::path::PathBuf>,
+    },
     /// Upgrades by pairs of processes under load, with faults at the seam
     Upgrade {
         /// Upgrades, one after the other
@@ -249,6 +264,10 @@
             let figures = micabeam_rig::zones::experiment(&plan)?;
             report(figures.line(), figures.proves())
         }
+        Experiment::Soak { dispatchers, seconds, seed, binary } => {
+            let figures = soak::experiment(&soak::Plan { dispatchers, seconds, seed, binary })?;
+            report(figures.to_string(), figures.proves())
+        }
         Experiment::Upgrade { rounds, rate, seed } => {
             let figures = upgrade::experiment(&upgrade::Plan { rounds, rate, seed })?;
             report(figures.line(), figures.proves())
--- a/src/frontend/http/clients.rs
+++ b/src/frontend/http/clients.rs
@@ -55,11 +55,13 @@
     pub has_sent_request: bool,
     /// Bytes held for it: of a request that is not complete, or of its job.
     pub buffered_bytes: usize,
+    /// How long its first request may have waited before it was accepted, in milliseconds.
+    pub backlog_wait_ms: f64,
 }
 
 impl Client {
-    /// A connection that was accepted just now.
-    fn new(now_ms: f64) -> Client {
+    /// A connection that was accepted just now, and may have waited so long for that.
+    fn new(now_ms: f64, backlog_wait_ms: f64) -> Client {
         Client {
             job: None,
             idle_since_ms: now_ms,
@@ -71,6 +73,7 @@
             partial_request: None,
             has_sent_request: false,
             buffered_bytes: 0,
+            backlog_wait_ms,
         }
     }
 
@@ -98,6 +101,8 @@
     pub answered: Vec<ConnId>,
     /// Connections that have had their turn, and may hold more.
     pub deferred: Vec<ConnId>,
+    /// Since when the system refuses to accept, or what waited since then is not all accepted, in milliseconds.
+    refused_since_ms: Option<f64>,
 }
 
 impl Clients {
@@ -110,9 +115,22 @@
             next_sweep_ms: f64::INFINITY,
             answered: Vec::new(),
             deferred: Vec::new(),
+            refused_since_ms: None,
         }
     }
 
+    /// Takes in what an attempt to accept has shown. Gives how long a connection that was accepted now may have waited, in
+    /// milliseconds: since the system first refused, where the backlog was not empty after that. Guards against a deadline
+    /// that is passed on as if the request had come only now.
+    fn record_accept_state(&mut self, now_ms: f64, state: AcceptState) -> f64 {
+        match state {
+            AcceptState::Empty => self.refused_since_ms = None,
+            AcceptState::Paused => _ = self.refused_since_ms.get_or_insert(now_ms),
+            AcceptState::Waiting => {}
+        }
+        self.refused_since_ms.map_or(0.0, |since_ms| now_ms - since_ms)
+    }
+
     pub fn owns(&self, conn: ConnId) -> bool {
         self.connections.contains_key(&conn)
     }
@@ -171,9 +189,12 @@
                     self.drop_client(net, idle);
                 }
             }
-            let Some(id) = net.accept(self.clients.listener) else { return };
+            let accepted = net.accept(self.clients.listener);
             let now_ms = self.core.clock().now();
-            self.clients.connections.insert(id, Client::new(now_ms));
+            let state = net.accept_state(self.clients.listener);
+            let backlog_wait_ms = self.clients.record_accept_state(now_ms, state);
+            let Some(id) = accepted else { return };
+            self.clients.connections.insert(id, Client::new(now_ms, backlog_wait_ms));
             self.clients.schedule_sweep(now_ms);
         }
     }
--- a/src/frontend/http/requests.rs
+++ b/src/frontend/http/requests.rs
@@ -236,9 +236,11 @@
         let RouteDecision::Partition(partition) = self.route(class, &message) else {
             return self.reject(net, id, close);
         };
+        let backlog_wait_ms =
+            self.clients.get_mut(id).map_or(0.0, |client| std::mem::take(&mut client.backlog_wait_ms));
         let request = JobRequest {
             class,
-            deadline_ms: arrived_at_ms + wait_ms.min(MAX_WAIT_MS),
+            deadline_ms: arrived_at_ms - backlog_wait_ms + wait_ms.min(MAX_WAIT_MS),
             slots: message.header("req-extra").and_then(parse_slots).unwrap_or(1.0),
             work_ms: message.header("req-cost").and_then(parse_work_ms),
             partition,
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -13,7 +13,7 @@
 use calloop::generic::Generic;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use super::Handler;
 
@@ -25,6 +25,11 @@
 /// Connections in a row that may fail one by one, as those that were aborted while they waited, before the listener pauses.
 const MAX_FAILED_CONNECTIONS: u32 = 64;
 
+/// Attempts to open a listener while the system has no room for its socket.
+const MAX_BIND_ATTEMPTS: u32 = 40;
+/// Time between two such attempts.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What the last attempt to accept has shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcceptState {
@@ -77,7 +82,7 @@
         shared: bool,
         number: usize,
     ) -> io::Result<(Listener, SocketAddr)> {
-        let socket = Rc::new(bind(address, shared)?);
+        let socket = Rc::new(bind_patiently(address, shared)?);
         let local = socket.local_addr()?;
         let state = Rc::new(Cell::new(AcceptState::Empty));
         // Level-triggered: what is left in the backlog is told again.
@@ -98,11 +103,12 @@
             return None;
         }
         for _ in 0..MAX_FAILED_CONNECTIONS {
-            match self.socket.accept() {
+            // The standard library's `accept` repeats an interrupted call for as long as it is interrupted.
+            match SockRef::from(&*self.socket).accept() {
                 Ok((stream, _)) => {
                     self.state.set(AcceptState::Waiting);
                     self.is_reported = false;
-                    return Some(stream);
+                    return Some(stream.into());
                 }
                 Err(e) => match AcceptError::of(&e) {
                     AcceptError::OneConnection => {}
@@ -147,6 +153,17 @@
     }
 }
 
+/// Binds a listener, though the system may have no room for a moment: a process that does not start for that is lost.
+fn bind_patiently(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    for _ in 1..MAX_BIND_ATTEMPTS {
+        match bind(address, shared) {
+            Err(e) if AcceptError::of(&e) == AcceptError::NoRoom => std::thread::sleep(BIND_RETRY_INTERVAL),
+            bound => return bound,
+        }
+    }
+    bind(address, shared)
+}
+
 fn bind(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
