--- a/src/routing/slow_start.rs
+++ b/src/routing/slow_start.rs
@@ -8,8 +8,8 @@
 use super::spread::pair_point;
 use super::types::{EndpointId, Micros};
 
-/// Part of a turn's tokens that is left out: what is left for chance, and for jobs of more than mean work that
-/// come together, while jobs come faster than all endpoints can do.
+/// Part of a turn's tokens that is left out: for chance, and for jobs of more than mean work that come
+/// together, while jobs come faster than all endpoints can do.
 const TOKEN_MARGIN: f64 = 0.2;
 /// Most tokens that an endpoint saves, in jobs: a little over one job, so that none comes in bursts.
 const MAX_TOKENS: f64 = 1.5;
