List freshness: one reset connection after an outage does not prolong it

Change: quick failures count in a row of their own, three of them; a call that fails after a while counts where one failed before.

--- a/src/routing/list_freshness.rs
+++ b/src/routing/list_freshness.rs
@@ -34,13 +34,9 @@
 const POLL_ACCEPTED_AFTER: Micros = 2_500_000;
 /// A call that fails sooner has not waited for its turn.
 const QUICK_FAILURE: Micros = 250_000;
-/// Discovery counts as down when what has failed in a row weighs so much. A call that fails does not say
-/// whether discovery is down or crowded; that one fails after another does, as calls come one in 6 s.
-const DOWN_EVIDENCE: u32 = 3;
-/// Weight of a call that failed at once, or of a watch that broke: its connection may have been reset alone.
-const BROKEN_CONNECTION_EVIDENCE: u32 = 1;
-/// Weight of a call that failed after a while, or was never answered.
-const FAILED_CALL_EVIDENCE: u32 = 2;
+/// So many connections in a row that break at once say that discovery is down; fewer may have been reset
+/// alone.
+const QUICK_FAILURES_WHEN_DOWN: u32 = 3;
 
 /// How a call for the list failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -138,29 +134,38 @@
     }
 }
 
-/// What the failures since the last answer say of discovery itself.
+/// What the failures since the last answer say of discovery itself. A call that fails after a while does not
+/// say whether discovery is down or crowded; that one fails after another does, as calls come one in 6 s.
 #[derive(Clone, Copy, Debug, Default)]
 struct Reachability {
-    down_evidence: u32,
+    failures: u32,
+    /// Of those, the last ones that failed at once.
+    quick_failures: u32,
 }
 
 impl Reachability {
     /// Takes in a failure. Gives the time at which discovery could not be reached, where that is shown.
     fn on_failure(&mut self, now: Micros, call: &ListCall, failure: CallFailure) -> Option<Micros> {
-        let is_quick = now < call.started_at + QUICK_FAILURE;
-        let evidence = match failure {
-            CallFailure::Refused => DOWN_EVIDENCE,
-            CallFailure::Broken if is_quick || call.is_accepted_poll(now) => BROKEN_CONNECTION_EVIDENCE,
-            CallFailure::Broken | CallFailure::Silent => FAILED_CALL_EVIDENCE,
+        let is_reset_alone = now < call.started_at + QUICK_FAILURE || call.is_accepted_poll(now);
+        let is_down = match failure {
+            CallFailure::Refused => true,
+            CallFailure::Broken if is_reset_alone => {
+                self.quick_failures += 1;
+                self.quick_failures >= QUICK_FAILURES_WHEN_DOWN
+            }
+            CallFailure::Broken | CallFailure::Silent => {
+                self.quick_failures = 0;
+                self.failures > 0
+            }
             CallFailure::Incomplete | CallFailure::Stale => {
                 // It has answered.
-                self.down_evidence = 0;
-                0
+                *self = Reachability::default();
+                return None;
             }
-            CallFailure::Local => 0,
+            CallFailure::Local => return None,
         };
-        self.down_evidence = self.down_evidence.saturating_add(evidence);
-        (evidence > 0 && self.down_evidence >= DOWN_EVIDENCE).then_some(call.started_at)
+        self.failures = self.failures.saturating_add(1);
+        is_down.then_some(call.started_at)
     }
 }
 
--- a/tests/list_freshness.rs
+++ b/tests/list_freshness.rs
@@ -221,6 +221,19 @@
         assert!(!list.allows_attempts(START + 5 * SECOND + BOUND), "each failure counts from its call");
     }
 
+    /// Found by the soak, seed 1008: after an outage one connection that was reset left the old list in force for 7.7 s more.
+    #[test]
+    fn a_connection_that_is_reset_after_an_outage_does_not_prolong_it() {
+        let mut list = watching(30 * SECOND);
+        let down = START + 10 * SECOND;
+        list.on_failure(down, CallFailure::Broken);
+        fail(&mut list, down + 3 * SECOND, down + 5 * SECOND, CallFailure::Broken);
+        let end = down + 3 * SECOND + BOUND;
+        assert!(list.allows_attempts(end - MS), "it is down");
+        fail(&mut list, down + 9 * SECOND, down + 9 * SECOND + 20 * MS, CallFailure::Broken);
+        assert!(!list.allows_attempts(end), "it may be back");
+    }
+
     #[test]
     fn an_answer_between_two_failures_is_no_outage() {
         let mut list = started();
