--- a/rig/shim/src/lib.rs
+++ b/rig/shim/src/lib.rs
@@ -2,7 +2,7 @@
 //! library and makes some of their calls fail as `MICABEAM_FAULTS` says (`plan`).
 //!
 //! It owns no policy: which calls fail is the plan's. Calls that go past the C library are not seen here, as the program's
-//! `epoll` calls and its boot clock, which `rustix` makes itself; `docs/incidents/` lists how those are tested.
+//! `epoll` calls and its boot clock, which `rustix` makes itself; the incident's page names them as not tested.
 
 mod plan;
 
--- a/rig/src/soak/record.rs
+++ b/rig/src/soak/record.rs
@@ -147,7 +147,7 @@
     pub outages: Vec<Span>,
     /// Processes.
     pub lives: Vec<Life>,
-    /// When servers started cold, and what each can do warm in a second.
+    /// Servers that started cold, and when.
     pub cold_starts: Vec<(usize, Millis)>,
     /// Processes that ended by themselves.
     pub crashed: u64,
@@ -220,7 +220,7 @@
 }
 
 impl Record {
-    /// Holds the record to the rules. `kill_after_ms` is the earliest time of a kill after SIGTERM.
+    /// Holds the record to the rules. Nine in ten processes have to be ready within `ready_within_ms`.
     pub fn check(
         &self,
         seed: u64,
--- a/tests/list_freshness.rs
+++ b/tests/list_freshness.rs
@@ -8,8 +8,8 @@
 //! and call discovery for the first time up to 6 s after their start: the removals count as told long before.
 //!
 //! The evidence: all breaks of a replay name the removal of a server at one moment, counted as told 6 s later by the bound on
-//! changes that were not fetched; dispatchers with a watch had it before. On another day, with each call and attempt logged, a
-//! restarted dispatcher sent to a removed server 0.3 s after its start, and its first call went out after 5.9 s. Over 51
+//! changes that were not fetched; dispatchers with a watch had it before. As reported of another day,
+//! with each call and attempt logged, a restarted dispatcher sent to a removed server 0.3 s after its start, and its first call went out after 5.9 s. Over 51
 //! such dispatchers the first list came after 0.1 to 6.0 s. The tests here make the same order over loopback.
 
 mod common;
