Figures: why a request waits in the dispatcher, by reason

Change: the router tells why it holds a job, once for each reason (Action::Hold); the core counts it, and the console tells it as lb_held_total{reason}. Nothing is decided otherwise.

--- a/src/bin/micabeam-adapter/main.rs
+++ b/src/bin/micabeam-adapter/main.rs
@@ -243,6 +243,8 @@
             reply.record(8, |w| w.u32(instance).u64(job.0).worker(worker.0).u32(0));
         }
         Action::Fail { job } => reply.record(10, |w| w.u32(instance).u64(job.0)),
+        // The simulator has no word for it.
+        Action::Hold { .. } => {}
         Action::Probe { endpoint: worker } => reply.record(11, |w| w.u32(instance).worker(worker.0)),
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod counters;
 mod endpoint_list;
 mod endpoint_table;
+mod hold_counts;
 mod job;
 mod jobs;
 mod list_status;
@@ -33,6 +34,7 @@
 pub use command::Command;
 pub use counters::Counters;
 pub use endpoint_table::{EndpointTable, ListScope, ListedEndpoint, MAX_ENDPOINTS};
+pub use hold_counts::HoldCounts;
 pub use job::{ActiveJob, Attempt, FinalAnswer, JobRequest};
 pub use list_status::ListStatus;
 pub use partition::{ALL_ENDPOINTS, EndpointSelector, PartitionId};
@@ -294,6 +296,11 @@
         &self.statistics.telemetry
     }
 
+    /// How often jobs began to wait here, by reason.
+    pub fn holds(&self) -> HoldCounts {
+        self.statistics.holds
+    }
+
     /// The operators' gauges as they are now: open jobs, listed endpoints, and those that get no jobs.
     pub fn gauges(&self) -> Gauges {
         let (now, listed) = (micros(self.clock.now()), self.endpoints.listed());
@@ -355,6 +362,7 @@
             }
             Action::Fail { job } => self.answer(job, FinalAnswer::Failed),
             Action::Probe { endpoint } => send::probe(counters, commands, endpoint),
+            Action::Hold { reason, .. } => self.statistics.holds.count(reason),
             Action::Subscribe => send::subscribe(commands),
             // The routers have taken it.
             Action::WakeAt(_) => {}
--- a/src/core/statistics.rs
+++ b/src/core/statistics.rs
@@ -1,19 +1,25 @@
 //! What a core counts: the plain counters, and the operators' figures. Stages count through it, so that the two agree.
 
 use super::counters::Counters;
+use super::hold_counts::HoldCounts;
 use super::job::FinalAnswer;
 use crate::telemetry::{Disposition, Telemetry};
 
 /// The counters and figures of one core.
 pub(super) struct Statistics {
     pub(super) counters: Counters,
+    pub(super) holds: HoldCounts,
     pub(super) telemetry: Telemetry,
 }
 
 impl Statistics {
     /// All at 0, for classes of these names.
     pub(super) fn new(class_names: Vec<String>) -> Statistics {
-        Statistics { counters: Counters::default(), telemetry: Telemetry::new(class_names) }
+        Statistics {
+            counters: Counters::default(),
+            holds: HoldCounts::default(),
+            telemetry: Telemetry::new(class_names),
+        }
     }
 
     /// A job of a class was rejected before the router saw it.
--- a/src/frontend/gateway.rs
+++ b/src/frontend/gateway.rs
@@ -12,7 +12,7 @@
 use super::http::HttpFrontend;
 use super::streaming::{self, StreamingFrontend};
 use super::{Sockets, handover};
-use crate::core::{Clock, Core, IncompatibleSettings};
+use crate::core::{Clock, Core, HoldCounts, IncompatibleSettings};
 use crate::lifecycle::{Cause, Lifecycle, Phase};
 use crate::net::{ConnId, Handler};
 use crate::telemetry::{self, Gauges};
@@ -175,9 +175,11 @@
         cores.extend(self.gearman.as_ref().map(GearmanFrontend::core));
         cores.extend(self.streaming.as_ref().map(StreamingFrontend::core));
         let gauges = cores.iter().fold(Gauges::default(), |sum, core| sum + core.gauges());
+        let holds = cores.iter().fold(HoldCounts::default(), |sum, core| sum + core.holds());
         let counts: Vec<_> = cores.iter().map(|core| core.telemetry()).collect();
         let lists = self.http.as_ref().map(|http| http.list_figures().to_string());
         telemetry::render(&counts, gauges)
+            + &holds.figure()
             + &lists.unwrap_or_default()
             + &self.fleet.as_ref().map(Fleet::figures).unwrap_or_default()
     }
--- a/src/routing/job_state.rs
+++ b/src/routing/job_state.rs
@@ -1,7 +1,7 @@
 //! What is remembered of a job until its final answer, and of its attempts.
 
 use super::endpoint_state::EndpointIndex;
-use super::types::{Job, Micros};
+use super::types::{HoldReason, Job, Micros};
 
 /// One try of a job at an endpoint.
 #[derive(Debug)]
@@ -86,6 +86,8 @@
     pub(super) search: Search,
     /// Tells the newest timer of its search from older ones.
     pub(super) search_count: u32,
+    /// Why it is held, as the caller was told.
+    pub(super) held_for: Option<HoldReason>,
     /// Its answer has begun.
     pub(super) streaming: bool,
 }
@@ -102,6 +104,7 @@
             is_waiting: true,
             search: Search { next_position, ..Search::default() },
             search_count: 0,
+            held_for: None,
             streaming: false,
         }
     }
--- a/src/routing/overflow.rs
+++ b/src/routing/overflow.rs
@@ -7,7 +7,7 @@
 use super::router::Router;
 use super::spread::golden_section_point;
 use super::timers::Timer;
-use super::types::{Action, Idempotency, Job, JobId, Micros};
+use super::types::{Action, HoldReason, Idempotency, Job, JobId, Micros};
 
 /// Endpoints tried for one job before it takes the best of them.
 const MAX_STEPS: usize = 4;
@@ -73,19 +73,24 @@
             search.steps = search.steps.max(pending.attempts.len());
         }
         let mut remaining = if self.attempts_allowed { self.cycles[cycle].order.len() } else { 0 };
+        let mut first_obstacle = None;
         let delay = loop {
             if search.steps >= limits.max_steps || remaining == 0 {
                 if let Some(endpoint) = self.best_endpoint(now, id, &search, &limits) {
                     return self.send(now, id, endpoint, out);
                 }
+                let reason = self.hold_reason(&search, first_obstacle);
+                self.hold(id, reason, out);
                 search.restart();
                 self.held_jobs.insert(held_key, id);
                 break limits.held_retry_delay;
             }
             remaining -= 1;
             let endpoint = self.next_endpoint(cycle, remaining, &limits, &mut search);
-            if self.endpoints[endpoint].health_check_in_flight.is_some() || !self.may_send(now, id, endpoint)
-            {
+            let is_probed = self.endpoints[endpoint].health_check_in_flight.is_some();
+            let obstacle = self.send_obstacle(now, id, endpoint).or(is_probed.then_some(HoldReason::Probed));
+            if obstacle.is_some() {
+                first_obstacle = first_obstacle.or(obstacle);
                 continue;
             }
             search.steps += 1;
@@ -107,6 +112,25 @@
         self.timers.set(now + delay, Timer::TryNextEndpoint { job: id, search_count });
     }
 
+    /// Why a search that ends here has found no endpoint.
+    fn hold_reason(&self, search: &Search, first_obstacle: Option<HoldReason>) -> HoldReason {
+        if !self.attempts_allowed {
+            HoldReason::ListUnusable
+        } else if search.best.is_some() {
+            HoldReason::QueueFull
+        } else {
+            first_obstacle.unwrap_or(HoldReason::NoEndpoint)
+        }
+    }
+
+    /// Tells the caller why a job is held, where it was not or for another reason.
+    fn hold(&mut self, id: JobId, reason: HoldReason, out: &mut Vec<Action>) {
+        let Some(pending) = self.jobs.get_mut(&id) else { return };
+        if pending.held_for.replace(reason) != Some(reason) {
+            out.push(Action::Hold { job: id, reason });
+        }
+    }
+
     /// Whether a queue is so little past k that the search ends there.
     pub(super) fn is_acceptable(&self, queue_excess: f64) -> bool {
         queue_excess <= self.estimates.typical_excess.min(0.0)
@@ -186,6 +210,7 @@
         let expected_work = self.expected_work(&self.jobs[&id].job);
         let pending = self.jobs.get_mut(&id).expect("a job that is sent was waiting");
         pending.is_waiting = false;
+        pending.held_for = None;
         self.held_jobs.remove(pending.held_key, id);
         let attempt = pending.attempts.len();
         let endpoint_state = &mut self.endpoints[endpoint];
--- a/src/routing/retries.rs
+++ b/src/routing/retries.rs
@@ -5,7 +5,7 @@
 use super::job_state::PendingJob;
 use super::router::Router;
 use super::timers::Timer;
-use super::types::{Action, DeduplicationScope, Idempotency, JobId, Micros, Outcome};
+use super::types::{Action, DeduplicationScope, HoldReason, Idempotency, JobId, Micros, Outcome};
 
 /// Advice to the client of a rejected job when to come back: by then the jobs that wait now are over. Guards
 /// against retries that come at once and take the place of jobs still in time.
@@ -19,15 +19,20 @@
 impl Router {
     /// Whether a job may be sent to an endpoint now.
     pub(super) fn may_send(&self, now: Micros, id: JobId, index: EndpointIndex) -> bool {
+        self.send_obstacle(now, id, index).is_none()
+    }
+
+    /// Why a job may not be sent to an endpoint now; none where it may.
+    pub(super) fn send_obstacle(&self, now: Micros, id: JobId, index: EndpointIndex) -> Option<HoldReason> {
         let endpoint = &self.endpoints[index];
-        if !self.is_eligible(now, endpoint) {
-            return false;
+        if let Some(reason) = self.ineligibility(now, endpoint) {
+            return Some(reason);
         }
-        let Some(pending) = self.jobs.get(&id) else { return false };
+        let pending = self.jobs.get(&id).filter(|job| self.cycles[job.cycle].admits(endpoint.listed.kind));
+        let Some(pending) = pending else { return Some(HoldReason::NoEndpoint) };
         let abandoned = pending.attempts.iter().any(|attempt| attempt.abandoned && attempt.endpoint == index);
-        !abandoned
-            && self.cycles[pending.cycle].admits(endpoint.listed.kind)
-            && self.retry_allowed(now, pending, pending.attempts.len(), endpoint)
+        let may_run = !abandoned && self.retry_allowed(now, pending, pending.attempts.len(), endpoint);
+        (!may_run).then_some(HoldReason::RetryForbidden)
     }
 
     /// Whether an attempt may be written now that its connection is up: until its first byte is written it
--- a/src/routing/slow_start.rs
+++ b/src/routing/slow_start.rs
@@ -6,7 +6,7 @@
 use super::endpoint_state::{EndpointIndex, EndpointState};
 use super::router::Router;
 use super::spread::pair_point;
-use super::types::{EndpointId, Micros};
+use super::types::{EndpointId, HoldReason, Micros};
 
 /// Part of a turn's tokens that is left out: for chance, and for jobs of more than mean work that come
 /// together, while jobs come faster than all endpoints can do.
@@ -52,11 +52,21 @@
     /// Whether an endpoint may be given a job now: listed as ready, not ejected, and, while it warms up, with
     /// a token saved for it.
     pub(super) fn is_eligible(&self, now: Micros, endpoint: &EndpointState) -> bool {
-        let is_ejected = endpoint.ejected_until > now;
-        let has_token = endpoint.slow_start_tokens >= 1.0;
-        self.attempts_allowed
-            && endpoint.is_ready
-            && !is_ejected
-            && (has_token || self.is_warm(now, endpoint))
+        self.ineligibility(now, endpoint).is_none()
+    }
+
+    /// Why an endpoint may not be given a job now; none where it may.
+    pub(super) fn ineligibility(&self, now: Micros, endpoint: &EndpointState) -> Option<HoldReason> {
+        if !self.attempts_allowed {
+            Some(HoldReason::ListUnusable)
+        } else if !endpoint.is_ready {
+            Some(HoldReason::NoEndpoint)
+        } else if endpoint.ejected_until > now {
+            Some(HoldReason::Ejected)
+        } else if endpoint.slow_start_tokens < 1.0 && !self.is_warm(now, endpoint) {
+            Some(HoldReason::SlowStart)
+        } else {
+            None
+        }
     }
 }
--- a/src/routing/types.rs
+++ b/src/routing/types.rs
@@ -297,6 +297,51 @@
     Wake,
 }
 
+/// Why a job waits here instead of being sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldReason {
+    /// No attempt may be made by the list that is held.
+    ListUnusable,
+    /// No listed endpoint runs its kind of job.
+    NoEndpoint,
+    /// Endpoints lost their turns after failures.
+    Ejected,
+    /// Endpoints that warm up have no slow-start token left.
+    SlowStart,
+    /// Endpoints are being probed for other jobs.
+    Probed,
+    /// The job may not run there after its earlier attempts.
+    RetryForbidden,
+    /// It would wait in every queue until it is late.
+    QueueFull,
+}
+
+impl HoldReason {
+    /// All of them, in the order of their figures.
+    pub const ALL: [HoldReason; 7] = [
+        HoldReason::ListUnusable,
+        HoldReason::NoEndpoint,
+        HoldReason::Ejected,
+        HoldReason::SlowStart,
+        HoldReason::Probed,
+        HoldReason::RetryForbidden,
+        HoldReason::QueueFull,
+    ];
+
+    /// Its name in figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            HoldReason::ListUnusable => "list",
+            HoldReason::NoEndpoint => "no_endpoint",
+            HoldReason::Ejected => "ejected",
+            HoldReason::SlowStart => "slow_start",
+            HoldReason::Probed => "probed",
+            HoldReason::RetryForbidden => "retry",
+            HoldReason::QueueFull => "queue",
+        }
+    }
+}
+
 /// What a dispatcher decides.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -331,6 +376,13 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// A job waits here from now on, or for another reason than before. Nothing is to be done.
+    Hold {
+        /// The job.
+        job: JobId,
+        /// Why: of the endpoints that were passed over, the first.
+        reason: HoldReason,
+    },
     /// Subscribe to the endpoint list.
     Subscribe,
     /// Call `handle` with `Event::Wake` at this time. A later `WakeAt` does not withdraw an earlier one.
