Upstream: a connection that was just used rests before an unsafe request, unless it is known to be kept

Symptom: now and then a request that must not run twice is answered as failed at once, though its server is well. The known red of the upgrade (a_call_back_that_reaches_the_other_process_ends_its_job) is one form of it. Cause: its server closes each connection after its 202 without saying so. The dispatcher put the connection into its pool with the 202 and wrote the next request on it 0.1 to 1 ms later, while the end was on the way: a reset before a 202 may have run, so that an unsafe request fails. Change: Pool remembers the peers of which a connection has outlived a response by 50 ms, and forgets that where one ends sooner. Until then a request that a reset harms (Router::is_harmed_by_reset: every class but the idempotent ones) waits on such a connection until the 50 ms are over, once for each server; an end that comes meanwhile costs nothing, since nothing was written. Why it holds: an end that follows a response by less than 50 ms is seen before the first byte of an unsafe request; a server that is known to keep connections costs nothing. An end after a longer rest crosses as before: no client can tell. Not mended: the streaming frontend has the same race (it uses the pool as before).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -224,6 +224,11 @@
         is_open && router.attempt_is_valid(micros(self.clock.now()), job, attempt)
     }
 
+    /// Whether a job whose connection breaks under its attempt may not simply be tried again.
+    pub fn is_harmed_by_reset(&self, job: JobId) -> bool {
+        self.routers.router(self.partition_of(job)).is_harmed_by_reset(job)
+    }
+
     /// Lets routers know that the time has come for which they asked.
     pub fn tick(&mut self) {
         self.refresh_attempts_allowed();
--- a/src/frontend/http/attempts.rs
+++ b/src/frontend/http/attempts.rs
@@ -41,6 +41,11 @@
             false => self.upstreams.clearance(id.job),
         };
         let is_intact = net.conn(conn).is_some_and(|conn| conn.is_fresh());
+        if is_valid && is_intact && self.upstreams.is_resting(conn) {
+            // Guards against a request that crosses the end of a connection that was used just before: it may have run,
+            // and is answered as failed.
+            return;
+        }
         let outcome = match (is_valid && clearance != Clearance::Refused, is_intact) {
             (true, true) if clearance == Clearance::Waiting => {
                 // A second copy must not be open beside the first: it waits until that is cancelled.
--- a/src/frontend/http/upstream.rs
+++ b/src/frontend/http/upstream.rs
@@ -63,6 +63,8 @@
     was_pooled: bool,
     /// Whether it has been seen to come up.
     is_up: bool,
+    /// Its end may be on the way until this time, in milliseconds: its attempt waits. 0: it does not.
+    rests_until_ms: f64,
 }
 
 /// An attempt that has not ended.
@@ -136,6 +138,11 @@
         self.connections.get(&conn).is_none_or(is_known)
     }
 
+    /// Whether the attempt on a connection waits as its end may be on the way.
+    pub fn is_resting(&self, conn: ConnId) -> bool {
+        self.connections.get(&conn).is_some_and(|connection| connection.rests_until_ms > 0.0)
+    }
+
     /// An attempt is being written on a connection.
     pub fn start_attempt(&mut self, conn: ConnId, attempt: AttemptId) {
         if let Some(connection) = self.connections.get_mut(&conn) {
@@ -191,13 +198,25 @@
         purpose: ConnectionUse,
     ) -> Result<ConnId, Outcome> {
         let now_ms = self.core.clock().now();
-        while let Some(id) = self.upstreams.pool.take(endpoint, now_ms) {
+        let is_harmed_by_reset = match purpose {
+            ConnectionUse::Assigned(attempt) => self.core.is_harmed_by_reset(attempt.job),
+            _ => false,
+        };
+        while let Some(pooled) = self.upstreams.pool.take(endpoint, now_ms, is_harmed_by_reset) {
+            let id = pooled.conn;
+            let is_open = net.conn(id).is_some_and(|conn| conn.is_fresh());
+            self.upstreams.pool.on_looked_at(endpoint, pooled.idle_ms, is_open);
             // Guards against a connection that the peer has closed: a request written there would be lost.
+            if is_open {
+                self.reuse(id, endpoint, purpose, 0.0);
+                return Ok(id);
+            }
+            self.close_upstream(net, id);
+        }
+        // A rest of some milliseconds, once for each endpoint, is less than a new connection costs both sides.
+        if let Some((id, rests_until_ms)) = self.upstreams.pool.take_unproven(endpoint) {
             if net.conn(id).is_some_and(|conn| conn.is_fresh()) {
-                let deadline_ms = f64::INFINITY;
-                let connection =
-                    UpstreamConnection { endpoint, purpose, deadline_ms, was_pooled: true, is_up: true };
-                self.upstreams.connections.insert(id, connection);
+                self.reuse(id, endpoint, purpose, rests_until_ms);
                 return Ok(id);
             }
             self.close_upstream(net, id);
@@ -205,6 +224,20 @@
         self.open_upstream(net, endpoint, purpose)
     }
 
+    /// Uses a connection that was idle, once it has rested.
+    fn reuse(&mut self, id: ConnId, endpoint: EndpointId, purpose: ConnectionUse, rests_until_ms: f64) {
+        let deadline_ms = if rests_until_ms > 0.0 { rests_until_ms } else { f64::INFINITY };
+        let connection = UpstreamConnection {
+            endpoint,
+            purpose,
+            deadline_ms,
+            was_pooled: true,
+            is_up: true,
+            rests_until_ms,
+        };
+        self.upstreams.connections.insert(id, connection);
+    }
+
     /// A new connection to an endpoint.
     ///
     /// # Errors
@@ -229,8 +262,14 @@
             _ => Outcome::Unreachable,
         })?;
         let deadline_ms = now_ms + self.core.site().connect_timeout_ms;
-        let connection =
-            UpstreamConnection { endpoint, purpose, deadline_ms, was_pooled: false, is_up: false };
+        let connection = UpstreamConnection {
+            endpoint,
+            purpose,
+            deadline_ms,
+            was_pooled: false,
+            is_up: false,
+            rests_until_ms: 0.0,
+        };
         self.upstreams.connections.insert(id, connection);
         Ok(id)
     }
@@ -271,6 +310,9 @@
         }
         match message {
             Ok(Some(message)) if !matches!(purpose, ConnectionUse::Idle | ConnectionUse::CoolingDown) => {
+                if has_ended && !message.close {
+                    self.upstreams.pool.on_looked_at(connection.endpoint, 0.0, false);
+                }
                 let is_reusable = !(has_ended || has_stray_bytes || message.close) && is_written;
                 self.on_response(net, id, &message, is_reusable);
             }
@@ -313,8 +355,9 @@
     fn on_upstream_broken(&mut self, net: &mut Sockets, id: ConnId, is_written: bool) {
         let Some(connection) = self.upstreams.connections.get(&id) else { return };
         let UpstreamConnection { endpoint, purpose, was_pooled, .. } = *connection;
-        self.close_upstream(net, id);
         let now_ms = self.core.clock().now();
+        self.upstreams.pool.on_ended(endpoint, id, now_ms);
+        self.close_upstream(net, id);
         match purpose {
             ConnectionUse::Assigned(attempt) => {
                 self.end_unserved(attempt, Outcome::Unreachable, LoadReport::default());
@@ -362,6 +405,15 @@
                 connection.deadline_ms = f64::INFINITY;
                 self.upstreams.pool.put(connection.endpoint, id, now_ms);
             }
+            Some(connection) if connection.rests_until_ms > 0.0 => {
+                connection.rests_until_ms = 0.0;
+                connection.deadline_ms = f64::INFINITY;
+                let endpoint = connection.endpoint;
+                if net.conn(id).is_some_and(|conn| conn.is_fresh()) {
+                    self.upstreams.pool.on_kept_alive(endpoint);
+                }
+                self.on_upstream_ready(net, id);
+            }
             // An attempt has a time limit only while it connects, so that nothing of it was written.
             _ => self.on_upstream_broken(net, id, false),
         }
@@ -369,7 +421,7 @@
 
     /// Closes idle connections to an endpoint that has moved or was started again.
     pub(super) fn drop_idle(&mut self, net: &mut Sockets, endpoint: EndpointId) {
-        while let Some(id) = self.upstreams.pool.take(endpoint, f64::NEG_INFINITY) {
+        while let Some(id) = self.upstreams.pool.take_any(endpoint) {
             self.close_upstream(net, id);
         }
     }
--- a/src/frontend/streaming/upstream.rs
+++ b/src/frontend/streaming/upstream.rs
@@ -63,7 +63,7 @@
     /// A connection to an endpoint: an idle one that is still usable, or a new one. None proves that nothing was sent.
     fn acquire(&mut self, net: &mut Sockets, endpoint: EndpointId, stream: StreamId) -> Option<ConnId> {
         let now = self.now();
-        while let Some(id) = self.pool.take(endpoint, now) {
+        while let Some(id) = self.pool.take(endpoint, now, false).map(|pooled| pooled.conn) {
             // Guards against a connection that the peer has closed: a request written there would be lost.
             if let Some(conn) = net.conn(id).filter(|conn| conn.is_fresh()) {
                 let sent_before = conn.sent;
@@ -128,7 +128,7 @@
 
     /// Closes idle connections to an endpoint that has another address or was started again.
     pub(super) fn close_idle_upstreams(&mut self, net: &mut Sockets, endpoint: EndpointId) {
-        while let Some(id) = self.pool.take(endpoint, f64::NEG_INFINITY) {
+        while let Some(id) = self.pool.take_any(endpoint) {
             self.close_upstream(net, id);
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,7 +29,7 @@
 pub use budget::Budget;
 pub use conn::{Conn, MAX_BUFFERED_BYTES};
 pub use listener::AcceptState;
-pub use pool::Pool;
+pub use pool::{Pool, PooledConnection};
 pub use ring::Ring;
 pub use splice::{PIPE_CAPACITY_BYTES, Pipe, Pipes};
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -485,35 +485,41 @@
 
 // Shutdown.
 
-/// A server that closes each connection after its answer, without a word of it, and a job that must not run twice.
+/// A server closes each connection after its answer, without a word of it, and a job that must not run twice follows at once.
 ///
-/// What callers saw: now and then such a job was answered as failed at once, though its server was well. (The known red of the
-/// upgrade showed it as a job that did not come to its server.)
+/// What callers saw: now and then such a job was answered as failed, though its server was well. Why: the dispatcher took the
+/// connection for one that is kept as soon as the answer had come, while its end was on the way; what is written then may have
+/// run. What showed it: the known red of the upgrade, with each attempt and each connection logged. The server had closed 0.03 to
+/// 0.2 ms before the job was written on the same connection, which was reset 0.02 to 4 ms after. (The log of the entry, a `DELETE`
+/// of an earlier job, was the end of that one's time: the fourth job had its answer long before.)
 #[test]
 fn a_job_that_must_not_run_twice_does_not_cross_the_end_of_a_connection_that_was_just_used() {
     let (worker, dial) = listener();
     let (program, address) = platform(nobody(), &[("s-1", dial)]);
-    // Makes the order happen however busy the machine is: a round counts where the second job followed soon.
+    // A round counts where the end followed soon, as it does unless the machine is very busy.
     for round in 0..20 {
         let ids = [format!("a{round}"), format!("b{round}")];
         let mut clients = [Http::connect(address), Http::connect(address)];
         clients[0].submit("confirm-booking", &ids[0]);
         let mut first = Http::accept(&worker);
         first.read();
+        let sent = counter(address, "sent");
         freeze(&program);
         first.take();
         clients[1].submit("confirm-booking", &ids[1]);
         let began = Instant::now();
         thaw(&program);
-        let second = accept_unless_reused(&first, &worker);
-        let follows_soon = began.elapsed() < Duration::from_millis(50);
+        until(|| counter(address, "sent") > sent, "the second job is not sent");
         // It ends over what it has not read, as the end of an idle connection that crosses a request does.
         drop(first);
-        if second.is_none() && !follows_soon {
+        if began.elapsed() > Duration::from_millis(40) {
+            drop(clients);
+            until(|| counter(address, "left") == 2 * (round + 1), "their ends are not seen");
             continue;
         }
-        let mut second = second.expect("it was written on a connection that may be ending");
-        assert!(second.read().0.contains(&ids[1]));
+        let mut second = Http::accept(&worker);
+        let (head, _) = second.read();
+        assert!(head.contains(&ids[1]), "it was written on a connection that was ending: {head}");
         second.take();
         for (client, id) in clients.iter_mut().zip(&ids) {
             Http::connect(address).call_back(id, "s-1", "done", "ok");
@@ -524,24 +530,6 @@
     panic!("the machine is too busy for the order to happen");
 }
 
-/// A new connection over which the next job comes; none where it comes over one that was used before.
-fn accept_unless_reused(used: &Http, listener: &TcpListener) -> Option<Http> {
-    let used = used.0.get_ref();
-    used.set_nonblocking(true).unwrap();
-    listener.set_nonblocking(true).unwrap();
-    let mut accepted = None;
-    until(
-        || {
-            accepted = listener.accept().ok();
-            accepted.is_some() || matches!(used.peek(&mut [0]), Ok(1))
-        },
-        "the second job does not come",
-    );
-    let (stream, _) = accepted?;
-    stream.set_nonblocking(false).unwrap();
-    Some(Http::over(stream))
-}
-
 /// More connections wait in the backlog than are accepted in a turn as the last job ends. Guards against an exit that
 /// resets requests that the machine has taken.
 #[test]
