Failing test: a job is held as the connection for it ended before it was written

Callers see a job rejected at its deadline though its only server is well and idle connections are all that ended.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -530,6 +530,44 @@
     panic!("the machine is too busy for the order to happen");
 }
 
+/// The connection that a job was to be written on ends before a byte of it is. Guards against a job that was sent once, counts as
+/// tried, and is then held to its deadline: the fourth for an only server whose other three have not started.
+#[test]
+fn a_job_whose_kept_connection_ends_before_it_is_written_goes_on_another_at_once() {
+    let (worker, dial) = listener();
+    let (program, address) = platform(nobody(), &[("s-1", dial)]);
+    for round in 0..20 {
+        let ids: Vec<String> = (0..4).map(|number| format!("k{round}-{number}")).collect();
+        let mut clients: Vec<Http> = ids.iter().map(|_| Http::connect(address)).collect();
+        let mut connections = Vec::new();
+        for (client, id) in clients.iter_mut().zip(&ids[..3]) {
+            client.submit("confirm-booking", id);
+            let mut connection = Http::accept(&worker);
+            assert!(connection.read().0.contains(id));
+            connections.push(connection);
+        }
+        let sent = counter(address, "sent");
+        freeze(&program);
+        connections[2].take();
+        clients[3].submit("confirm-booking", &ids[3]);
+        let began = Instant::now();
+        thaw(&program);
+        until(|| counter(address, "sent") > sent, "the fourth job is not sent");
+        drop(connections.pop());
+        if began.elapsed() > Duration::from_millis(40) {
+            drop(clients);
+            until(|| counter(address, "left") == 4 * (round + 1), "their ends are not seen");
+            continue;
+        }
+        let mut fourth = Http::accept(&worker);
+        let (head, _) = fourth.read();
+        assert!(head.contains(&ids[3]), "the fourth job does not come: {head}");
+        assert_eq!(counter(address, "sent"), sent + 1, "it is one attempt");
+        return;
+    }
+    panic!("the machine is too busy for the order to happen");
+}
+
 /// More connections wait in the backlog than are accepted in a turn as the last job ends. Guards against an exit that
 /// resets requests that the machine has taken.
 #[test]
