Upstream: an idle connection that has ended is replaced within the attempt

Cause: the attempt ended as NotSent, and the router decided the job anew, some milliseconds later. With three unstarted jobs at an only server the queue is exactly as long as the objective of a job that has just come, and longer than what is left to one that has waited: held for the queue (lb_held_total{reason="queue"} 1 in the test, 0 for each other reason). Change: nothing was written and nothing was learned of the server, so the attempt goes on, on a new connection. Once: what is new and fails is the server's failure, as before. It no longer takes one of the job's attempts either.

--- a/src/frontend/http/attempts.rs
+++ b/src/frontend/http/attempts.rs
@@ -52,6 +52,10 @@
                 return self.upstreams.set_deadline(conn, f64::INFINITY);
             }
             (true, true) => None,
+            // Guards against a job that is decided anew, and held, as an idle connection has ended: nothing was sent.
+            (true, false) if self.upstreams.was_pooled(conn) => {
+                return self.move_to_new_connection(net, conn, id);
+            }
             // A connection that has ended says of an endpoint that took it just now that it fails.
             (true, false) if !self.upstreams.was_up_before(conn) => Some(Outcome::Unreachable),
             _ => Some(Outcome::NotSent),
@@ -66,6 +70,21 @@
         self.on_upstream_ready(net, conn);
     }
 
+    /// Goes on with an attempt on a new connection, as the idle one that it was to be written on has ended.
+    fn move_to_new_connection(&mut self, net: &mut Sockets, ended: ConnId, id: AttemptId) {
+        self.close_upstream(net, ended);
+        let Some(attempt) = self.upstreams.attempts.get(&id) else { return };
+        let opened = self.open_upstream(net, attempt.endpoint, ConnectionUse::Assigned(id));
+        let conn = match opened {
+            Ok(conn) => conn,
+            Err(outcome) => return self.end_unserved(id, outcome, LoadReport::default()),
+        };
+        if let Some(attempt) = self.upstreams.attempts.get_mut(&id) {
+            attempt.conn = Some(conn);
+        }
+        self.on_upstream_ready(net, conn);
+    }
+
     /// An attempt's request, with the time that is left to its client.
     fn attempt_bytes(&self, id: JobId, host: String) -> Vec<u8> {
         let deadline_ms = self.core.job(id).map_or(0.0, |job| job.request.deadline_ms);
--- a/src/frontend/http/upstream.rs
+++ b/src/frontend/http/upstream.rs
@@ -138,6 +138,11 @@
         self.connections.get(&conn).is_none_or(is_known)
     }
 
+    /// Whether a connection was taken out of the pool.
+    pub fn was_pooled(&self, conn: ConnId) -> bool {
+        self.connections.get(&conn).is_some_and(|connection| connection.was_pooled)
+    }
+
     /// Whether the attempt on a connection waits as its end may be on the way.
     pub fn is_resting(&self, conn: ConnId) -> bool {
         self.connections.get(&conn).is_some_and(|connection| connection.rests_until_ms > 0.0)
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -530,8 +530,12 @@
     panic!("the machine is too busy for the order to happen");
 }
 
-/// The connection that a job was to be written on ends before a byte of it is. Guards against a job that was sent once, counts as
-/// tried, and is then held to its deadline: the fourth for an only server whose other three have not started.
+/// The connection that a job was to be written on ends before a byte of it is.
+///
+/// What callers saw: the fourth job for an only server, whose other three had not started, was held and then rejected at its
+/// deadline. Why: the attempt counted as one that was not sent, and the job was decided anew, some milliseconds after it came. It
+/// had been sent as the queue there was just as long as it might wait; now the queue was longer than what was left. What showed it:
+/// `lb_held_total{reason="queue"}`, and each attempt logged.
 #[test]
 fn a_job_whose_kept_connection_ends_before_it_is_written_goes_on_another_at_once() {
     let (worker, dial) = listener();
