Slow start: tokens lag behind capacity by two thirds of the window that calls are counted in

Cause: a turn was worth the capacity of its moment less a fifth. What is sent within a window is counted against the capacity at the window's beginning, and early in the ramp capacity grows by two thirds within one window. Change: the fraction of two thirds of the window ago, and no margin. The window is the settings' rules.fall (3 s where they give none; it was not read before). Why it holds: half a window makes the mean over a window the capacity at its beginning; the rest is for chance. No process knows what a server can do, so that load alone cannot be told from capacity.

--- a/src/frontend/streaming/config.rs
+++ b/src/frontend/streaming/config.rs
@@ -17,6 +17,8 @@
 pub const MAX_PREFIX_KB: f64 = 64.0;
 /// Shortest time between two calls of the decision module with different clocks, in milliseconds.
 const CLOCK_QUANTUM_MS: f64 = 1.0;
+/// Time within which what a cold server is sent is counted, in milliseconds: the table does not tell it.
+const OVERLOAD_WINDOW_MS: f64 = 3_000.0;
 
 /// What is wrong with the table.
 #[derive(Clone, Debug, PartialEq, Error)]
@@ -246,6 +248,7 @@
                 initial_capacity: self.cold.from,
                 warm_up: micros(self.cold.warm_s * 1e3),
                 overload_multiple: self.cold.multiple,
+                overload_window: micros(OVERLOAD_WINDOW_MS),
                 poll_within: micros(5_000.0),
                 drain_grace: micros(2_000.0),
             },
--- a/src/routing/retries.rs
+++ b/src/routing/retries.rs
@@ -17,8 +17,8 @@
 const QUICK_START_DIVISOR: Micros = 10;
 
 impl Router {
-    /// Whether a job whose connection breaks under its attempt may not simply be tried again: it may have run.
-    /// Such a job is not sent on a connection whose end may be on the way.
+    /// Whether a job whose connection breaks under its attempt may not simply be tried again, as it may have
+    /// run. Such a job is not sent on a connection whose end may be on the way.
     pub fn is_harmed_by_reset(&self, id: JobId) -> bool {
         let class = self.jobs.get(&id).map(|pending| &self.settings.classes[pending.job.class]);
         class.is_some_and(|class| class.idempotency != Idempotency::Idempotent)
--- a/src/routing/slow_start.rs
+++ b/src/routing/slow_start.rs
@@ -8,9 +8,9 @@
 use super::spread::pair_point;
 use super::types::{EndpointId, HoldReason, Micros};
 
-/// Part of a turn's tokens that is left out: for chance, and for jobs of more than mean work that come
-/// together, while jobs come faster than all endpoints can do.
-const TOKEN_MARGIN: f64 = 0.2;
+/// Part of the window within which calls are counted by which tokens lag behind capacity. Half of it makes
+/// their mean over a window the capacity at its beginning; the rest is for chance.
+const CAPACITY_LAG_SHARE: f64 = 2.0 / 3.0;
 /// Most tokens that an endpoint saves, in jobs: a little over one job, so that none comes in bursts.
 const MAX_TOKENS: f64 = 1.5;
 
@@ -20,11 +20,6 @@
     pair_point(dispatcher, endpoint.0)
 }
 
-/// What a turn of an endpoint adds to its tokens, in jobs: its slow-start fraction, less a margin.
-fn tokens_per_turn(slow_start_fraction: f64) -> f64 {
-    slow_start_fraction * (1.0 - TOKEN_MARGIN)
-}
-
 impl Router {
     /// The part of its capacity that an endpoint has for sure, from 0 to 1: it grows evenly from the start.
     pub(super) fn slow_start_fraction(&self, now: Micros, endpoint: &EndpointState) -> f64 {
@@ -42,11 +37,16 @@
         self.slow_start_fraction(now, endpoint) == 1.0
     }
 
-    /// Adds the tokens of one turn.
+    /// Adds the tokens of one turn, in jobs: the slow-start fraction that the endpoint had a while ago.
+    ///
+    /// Guards against a bound that is met early in the ramp: what is sent within a window is counted against
+    /// the capacity at its beginning, and capacity grows within it.
     pub(super) fn add_turn_tokens(&mut self, now: Micros, endpoint: EndpointIndex) {
-        let fraction = self.slow_start_fraction(now, &self.endpoints[endpoint]);
+        let lag = (self.settings.rules.overload_window as f64 * CAPACITY_LAG_SHARE) as Micros;
+        let endpoint_state = &self.endpoints[endpoint];
+        let fraction = self.slow_start_fraction(now.saturating_sub(lag), endpoint_state);
         let tokens = &mut self.endpoints[endpoint].slow_start_tokens;
-        *tokens = (*tokens + tokens_per_turn(fraction)).min(MAX_TOKENS);
+        *tokens = (*tokens + fraction).min(MAX_TOKENS);
     }
 
     /// Whether an endpoint may be given a job now: listed as ready, not ejected, and, while it warms up, with
--- a/src/routing/types.rs
+++ b/src/routing/types.rs
@@ -135,6 +135,8 @@
     pub warm_up: Micros,
     /// Multiple of its present capacity that pushes a cold endpoint over.
     pub overload_multiple: f64,
+    /// For which it has to be sent so much: the span within which what it is sent is counted.
+    pub overload_window: Micros,
     /// Where the list must be subscribed to: the time within which it must be asked.
     pub poll_within: Micros,
     /// Time from when it is known that an endpoint drains or is gone until nothing new may be sent to it.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,8 @@
 const DEFAULT_HARD_LIMIT_US: f64 = 5e6;
 /// Time in which a drain is to be followed, in microseconds, where the settings give none.
 const DEFAULT_DRAIN_GRACE_US: f64 = 2e6;
+/// Time within which what a cold endpoint is sent is counted, in microseconds, where the settings give none.
+const DEFAULT_OVERLOAD_WINDOW_US: f64 = 3e6;
 /// Idle time after which an endpoint closes a connection, where the settings name none, in microseconds.
 const DEFAULT_CONNECTION_IDLE_US: f64 = 15e6;
 /// Time within which a connection must come up, where the settings name none, in microseconds.
@@ -290,6 +292,7 @@
             initial_capacity: required(rules, "coldFrom")?,
             warm_up: required(rules, "cold")? as Micros,
             overload_multiple: required(rules, "tipMultiple")?,
+            overload_window: number(rules, "fall").unwrap_or(DEFAULT_OVERLOAD_WINDOW_US).max(0.0) as Micros,
             drain_grace: number(rules, "drainGrace").unwrap_or(DEFAULT_DRAIN_GRACE_US).max(0.0) as Micros,
             poll_within: number(rules, "askWithin").unwrap_or(0.0).max(0.0) as Micros,
         },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,7 @@
             initial_capacity: 0.1,
             warm_up: 20 * SECOND,
             overload_multiple: 2.5,
+            overload_window: 3 * SECOND,
             poll_within: 10 * SECOND,
             drain_grace: 2 * SECOND,
         },
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -20,6 +20,8 @@
 const TAKES: Micros = 300 * MS;
 const EACH: f64 = 10.0;
 const SEEDS: u64 = 4;
+/// Days on which more comes than all can do: one of so many is cold, and what comes as a part of what all could do warm.
+const OVERLOADS: [(u64, f64); 4] = [(2, 1.5), (2, 2.0), (3, 2.0), (1, 1.5)];
 
 #[derive(Clone, Copy)]
 struct Day {
@@ -170,11 +172,15 @@
     (0..calls.len()).map(part).fold(f64::MIN, f64::max)
 }
 
-/// Guards against a cold server that gets more than its bound as jobs come faster than all can serve. Known red: a turn is
-/// worth its warmth however many turns there are.
+/// What was seen: servers that had just started were sent more than pushes them over, in the first seconds of their ramp, while
+/// jobs came faster than all servers can do.
+///
+/// Why: a turn was worth the capacity of its moment, and what is sent within a window is counted against the capacity at its
+/// beginning. Early in the ramp capacity grows by two thirds within one window. What showed it: the worst window of each of
+/// these days began 0.0 to 1.9 s after the start, and with tokens that lag behind by the window all are within the bound.
 #[test]
 fn the_ramp_holds_while_more_comes_than_all_can_do() {
-    for (cold, load) in [(2, 1.5), (2, 2.0), (3, 2.0), (1, 1.5)] {
+    for (cold, load) in OVERLOADS {
         let mut most = f64::MIN;
         for seed in 0..SEEDS {
             let (calls, _) = Day { processes: 30, servers: 12, cold, load, seed }.play();
@@ -186,6 +192,26 @@
     }
 }
 
+/// The same days by more seeds. Known red: a turn is worth as much however many turns there are, and no process knows what a
+/// server can do, so that at 1.5 to 2 times what all can do nothing is left for chance.
+#[test]
+fn the_ramp_holds_by_more_seeds_while_more_comes_than_all_can_do() {
+    let mut over = Vec::new();
+    for (cold, load) in OVERLOADS {
+        let mut most = f64::MIN;
+        for seed in 100..100 + 4 * SEEDS {
+            let (calls, _) = Day { processes: 30, servers: 12, cold, load, seed }.play();
+            most = calls.values().map(|calls| worst(calls)).fold(most, f64::max);
+        }
+        let place = format!("one in {cold} of 12 cold, load {load}: {most:.2} of the chance");
+        println!("{place}");
+        if most > 1.0 {
+            over.push(place);
+        }
+    }
+    assert!(over.is_empty(), "{over:?}");
+}
+
 /// Guards against a ramp that holds for each process and not for the fleet: every new process begins with what it may
 /// send, and every restart draws anew; and against probes that go to a cold server without a bound.
 #[test]
