--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -11,10 +11,10 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use net::*;
-use stand_ins::{Mode, StandInDiscovery};
+use stand_ins::{JobServer, Mode, StandInDiscovery};
 
 /// An installation: an address of its own that processes share, their notes, and one booking worker.
 struct Site {
@@ -259,6 +259,46 @@
     }
 }
 
+/// The new process begins while discovery says nothing, and the old one runs on for a while or is told to end.
+///
+/// What callers saw: the dispatcher said that it was ready, and sent nothing from 1.7 to 5.2 s after its start.
+#[test]
+fn a_new_process_serves_on_while_discovery_says_nothing() {
+    let stories = [false, true].map(|old_ends| std::thread::spawn(move || serve_on_while_silent(old_ends)));
+    for (story, old_ends) in stories.into_iter().zip([false, true]) {
+        let longest = story.join().unwrap();
+        assert!(longest < Duration::from_secs(1), "the old one ends: {old_ends}, a job took {longest:?}");
+    }
+}
+
+/// The longest time that a job took at a new process, over more time than it needs to know that discovery is down.
+fn serve_on_while_silent(old_ends: bool) -> Duration {
+    let mut site = Site::new();
+    let server = JobServer::listen("s-1");
+    let discovery = StandInDiscovery::start(9, &host("s-1", server.address, "up"));
+    site.config = config(256, discovery.address, &[("s-1", server.address)])
+        .replacen('{', r#"{"console": "127.0.0.1:0", "#, 1)
+        .replace(r#""listen": "127.0.0.1:0""#, &format!(r#""listen": "{}""#, site.address));
+    server.serve(site.address);
+    let (old, _) = site.start();
+    discovery.treat(Mode::Silent, u64::MAX);
+    let (new, _) = site.start();
+    if old_ends {
+        old.signal("TERM");
+    }
+    let mut client = site.client(&new);
+    let (began, mut longest, mut number) = (Instant::now(), Duration::ZERO, 0);
+    while began.elapsed() < Duration::from_secs(8) {
+        let submitted = Instant::now();
+        client.submit("avail-search", &format!("silent-{number}"));
+        served(&mut client);
+        longest = longest.max(submitted.elapsed());
+        number += 1;
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    longest
+}
+
 /// A counter of one of the processes.
 fn counter_of(site: &Site, process: &Program, name: &str) -> u64 {
     let mut http = site.client(process);
