List freshness: a watch that was silent for too long proves nothing by its end

Symptom: none seen by callers. A test of the list that a process leaves found that a list whose watch was silent for 55 s past its wait may be used for 7.7 s more once the watch's connection breaks. Cause: a long poll that ends otherwise than by silence was taken to have watched until then, also where its wait and all that is allowed after it were over: a process that was held up meets the reset before it looks at the silence. Change: past the time for which the poll allowed the list its end extends nothing. Measured: tests/list_freshness.rs, a_watch_that_was_silent_for_too_long_proves_nothing_by_its_end; the module's other rows pass.

--- a/src/routing/list_freshness.rs
+++ b/src/routing/list_freshness.rs
@@ -262,6 +262,8 @@
         match (poll_usable_until, failure) {
             (None, _) => {}
             (Some(end), CallFailure::Silent) => self.extend(end),
+            // Silent for longer than it may be: it has brought nothing since, whatever ends it now.
+            (Some(end), _) if now >= end => {}
             // Until it broke it would have brought a change.
             (Some(_), _) => self.extend(now + self.notification_bound + self.grace),
         }
--- a/tests/list_freshness.rs
+++ b/tests/list_freshness.rs
@@ -279,6 +279,14 @@
         assert!(list.allows_attempts(end - MS) && !list.allows_attempts(end));
     }
 
+    /// Guards against a watch that fell silent unnoticed, and whose end is then taken for news that there is none.
+    #[test]
+    fn a_watch_that_was_silent_for_too_long_proves_nothing_by_its_end() {
+        let mut list = watching(5 * SECOND);
+        list.on_failure(START + 60 * SECOND, CallFailure::Broken);
+        assert!(!list.allows_attempts(START + 60 * SECOND));
+    }
+
     #[test]
     fn an_answer_that_was_cut_off_counts_as_told() {
         let mut list = watching(30 * SECOND);
