Tests: a folder of an earlier test program of the same number is not found again

Cause: folders are named by the process's number, which the system uses again; the notes of the earlier run lay there. Change: the folder is emptied first. No check is changed.

--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -28,6 +28,8 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()));
+    // An earlier test program may have had this process's number.
+    let _ = std::fs::remove_dir_all(&dir);
     std::fs::create_dir_all(&dir).unwrap();
     std::fs::write(dir.join(name), text).unwrap();
     dir.join(name)
