Upgrade: the last list of a process that ends is not overwritten by an earlier one's answer

Cause: the new process's request for the list crossed the end: the old one answered it after it had left its list for the last time, as one that is still watched, in the same file.

--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -104,10 +104,14 @@
         self.statistics.counters.lists > 0
     }
 
-    /// For how long another process may use the list from now on that this one leaves to it: where this one goes on to
-    /// watch it, or where it does not. In milliseconds.
-    pub fn list_usable_for_ms(&self, is_watched: bool) -> f64 {
-        millis(self.list_freshness.usable_for(micros(self.clock.now()), is_watched))
+    /// The list is not watched any more, as the process ends.
+    pub fn on_watch_stopped(&mut self) {
+        self.record_list_failure(CallFailure::Local);
+    }
+
+    /// For how long the list may be used from now on, in milliseconds.
+    pub fn list_usable_for_ms(&self) -> f64 {
+        millis(self.list_freshness.usable_for(micros(self.clock.now())))
     }
 
     /// Takes lines into the endpoint table, and gives them as routers are to see them.
--- a/src/frontend/discovery.rs
+++ b/src/frontend/discovery.rs
@@ -375,6 +375,11 @@
         self.watch = Watch::Stopped;
     }
 
+    /// Whether the watch was ended for good.
+    pub fn is_stopped(&self) -> bool {
+        matches!(self.watch, Watch::Stopped)
+    }
+
     fn close(&mut self, net: &mut Sockets) {
         if let Some(conn) = self.conn.take() {
             net.close(conn);
--- a/src/frontend/http/requests.rs
+++ b/src/frontend/http/requests.rs
@@ -183,7 +183,7 @@
         }
         let wanted = message.header(upgrade_link::WARM_STATE_HEADER);
         if matches!(wanted, Some(upgrade_link::WANTS_WARM_STATE | upgrade_link::WANTS_LIST)) {
-            self.leave_warm_state(true);
+            self.leave_warm_state();
         }
         self.respond(net, id, 204, &[], b"", message.close);
         if let Some(pid) = message.header(upgrade_link::ASKED_HEADER) {
--- a/src/frontend/http/state_handover.rs
+++ b/src/frontend/http/state_handover.rs
@@ -24,8 +24,8 @@
 }
 
 impl HttpFrontend {
-    /// Leaves what this process knows for the one that replaces it. `is_watched` says whether it goes on to watch the list.
-    pub(super) fn leave_warm_state(&self, is_watched: bool) {
+    /// Leaves what this process knows for the one that replaces it.
+    pub(super) fn leave_warm_state(&self) {
         let Some(links) = &self.links else { return };
         let endpoints = self.core.endpoints().listed();
         let file = WarmStateFile {
@@ -35,7 +35,8 @@
             endpoints: endpoints.into_iter().map(stored_endpoint).collect(),
             learned: self.core.warm_state(),
         };
-        let usable_ms = self.core.list_usable_for_ms(is_watched) as u64;
+        let usable_ms = self.core.list_usable_for_ms() as u64;
+        let is_watched = !self.discovery.is_stopped();
         let handover = ListHandover { pid: file.pid, usable_ms, is_watched };
         let left = handover::write_warm_state(links.note(), file.pid, &file.encode())
             .and_then(|()| handover::write_list_handover(links.note(), handover));
@@ -48,7 +49,8 @@
     pub(super) fn leave_last_list(&mut self, net: &mut Sockets) {
         if self.links.as_ref().is_some_and(UpgradeLinks::has_peer) {
             self.discovery.stop(net);
-            self.leave_warm_state(false);
+            self.core.on_watch_stopped();
+            self.leave_warm_state();
         }
     }
 
--- a/src/routing/list_freshness.rs
+++ b/src/routing/list_freshness.rs
@@ -236,14 +236,9 @@
         }
     }
 
-    /// What this process says of its list as it leaves it to another one: for how long that may be used from
-    /// now on, if this one goes on to watch it, or if it does not.
-    pub fn usable_for(&self, now: Micros, is_watched: bool) -> Micros {
-        let mut left = self.clone();
-        if !is_watched {
-            left.on_failure(now, CallFailure::Local);
-        }
-        left.usable_until(now).saturating_sub(now)
+    /// For how long the list may be used from now on, as far as is known now.
+    pub fn usable_for(&self, now: Micros) -> Micros {
+        self.usable_until(now).saturating_sub(now)
     }
 
     /// Another discovery is asked from now on.
--- a/tests/common/stand_ins.rs
+++ b/tests/common/stand_ins.rs
@@ -2,7 +2,8 @@
 //! they get and count it.
 #![allow(dead_code)]
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -11,6 +12,9 @@
 use super::crossing::reset;
 use super::net::{Http, listener, value};
 
+/// How often a server makes a call that is not acknowledged.
+const CALL_BACK_TRIES: u32 = 10;
+
 /// How the discovery service treats calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -186,10 +190,21 @@
         jobs.fetch_add(1, Ordering::Relaxed);
         connection.take();
         let id = value(&head, "req-id").unwrap();
-        Http::connect(dispatcher).call_back(&id, name, "done", "ok");
+        let is_told = (0..CALL_BACK_TRIES).any(|_| tells_end(dispatcher, &id, name).unwrap_or(false));
+        assert!(is_told, "nobody acknowledges the end of {id}");
     }
 }
 
+/// Tells of a job's end; whether that was acknowledged. A connection may be reset as a process stops listening.
+fn tells_end(dispatcher: SocketAddr, id: &str, name: &str) -> std::io::Result<bool> {
+    let mut call = Http::over(TcpStream::connect(dispatcher)?);
+    let body = format!(r#"{{"id":"{id}","from":"{name}","state":"done","result":"ok"}}"#);
+    let length = body.len();
+    let head = format!("POST /v1/job-events HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n");
+    call.0.get_mut().write_all((head + &body).as_bytes())?;
+    Ok(call.read().0.starts_with("HTTP/1.1 204"))
+}
+
 /// Waits until the dispatcher says that clients may come; how long that took.
 pub fn wait_until_ready(dispatcher: SocketAddr, limit: Duration) -> Duration {
     let began = Instant::now();
--- a/tests/list_freshness.rs
+++ b/tests/list_freshness.rs
@@ -344,13 +344,16 @@
     #[test]
     fn a_predecessor_that_watches_no_more_leaves_its_list_for_the_bound() {
         let end = START + 10 * SECOND;
-        let usable_for = watching(30 * SECOND).usable_for(end, false);
+        let mut ended = watching(30 * SECOND);
+        ended.on_failure(end, CallFailure::Local);
+        let usable_for = ended.usable_for(end);
         assert_eq!(usable_for, BOUND, "the watch would have brought a change until then");
         let mut list = started();
         list.on_predecessor_list(PredecessorList { left_at: end, usable_for, is_watched: false });
         assert!(list.allows_attempts(end + BOUND - MS) && !list.allows_attempts(end + BOUND));
-        // One that was out of date says so.
-        assert_eq!(watching(5 * SECOND).usable_for(START + 60 * SECOND, false), 0);
+        let mut out_of_date = watching(5 * SECOND);
+        out_of_date.on_failure(START + 60 * SECOND, CallFailure::Local);
+        assert_eq!(out_of_date.usable_for(START + 60 * SECOND), 0);
     }
 
     #[test]
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -285,10 +285,11 @@
     let (old, _) = site.start();
     discovery.treat(Mode::Silent, u64::MAX);
     let (new, _) = site.start();
+    // What waits to be accepted as the old one stops listening is reset.
+    let mut client = site.client(&new);
     if old_ends {
         old.signal("TERM");
     }
-    let mut client = site.client(&new);
     let (began, mut longest, mut number) = (Instant::now(), Duration::ZERO, 0);
     while began.elapsed() < Duration::from_secs(8) {
         let submitted = Instant::now();
