--- a/src/frontend/discovery.rs
+++ b/src/frontend/discovery.rs
@@ -426,3 +426,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
