Discovery: a call for the list that could not be made is not out

Cause: where a call fails at once its failure was taken in first and its begin after that (Discovery::take_started_call), so that the freshness of the list held a call for open that nobody had made. 2.5 s later it counted as a long poll that discovery had accepted, and the list as watched for 8.7 s from then. Change: a call counts as begun once its connection is. Found beside it: a watch that fell silent, and whose next call fails at once, was reported as that failure alone, and so as watched until then; the silence is now told by itself, and the call is the next step. Why it holds: what freshness counts as out is what was written to a connection.

--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -45,7 +45,7 @@
         self.drive(ALL_ENDPOINTS, Event::ListFailed { is_cheap });
     }
 
-    /// A call to discovery has failed, and its frontend has made it again already.
+    /// A call to discovery has failed, and its frontend makes it again by itself.
     pub fn on_list_call_repeated(&mut self, failure: CallFailure) {
         self.record_list_failure(failure);
     }
--- a/src/frontend/discovery.rs
+++ b/src/frontend/discovery.rs
@@ -5,7 +5,7 @@
 //! | --- | --- | --- |
 //! | off | the router asks for the list | calling |
 //! | calling | an answer | pausing, then calling again |
-//! | calling | a long poll is silent past its time | calling, at once and on a new connection |
+//! | calling | a long poll is silent past its time | pausing for no time, then calling on a new connection |
 //! | calling | any other failure | off; with an agent, pausing |
 
 use std::io::ErrorKind;
@@ -86,7 +86,7 @@
     },
     /// It failed. The router says when to call again.
     Failed(CallFailure),
-    /// It failed, and has been made again already.
+    /// It failed, and is made again without being asked for.
     Repeated(CallFailure),
 }
 
@@ -127,8 +127,9 @@
     /// Answers in a row that told an older version than the one held, and were not taken.
     stale_answers: u32,
     watch: Watch,
-    /// Nothing was answered since the start: the first call is to be answered at once, whether or not there is news.
-    awaits_first_answer: bool,
+    /// The next call is to be answered at once, whether or not there is news: nothing was answered since the start, or since
+    /// the watch fell silent.
+    asks_at_once: bool,
     /// How long the call may wait that was begun last, in milliseconds, until it is asked for.
     started_wait_ms: Option<f64>,
     rng: fastrand::Rng,
@@ -145,7 +146,7 @@
             version: Some(version),
             stale_answers: 0,
             watch: Watch::Off,
-            awaits_first_answer: true,
+            asks_at_once: true,
             started_wait_ms: None,
             rng,
         }
@@ -198,7 +199,7 @@
             }
             self.close(net);
         }
-        let is_answered_at_once = self.awaits_first_answer || self.version.is_none();
+        let is_answered_at_once = self.asks_at_once || self.version.is_none();
         let wait_ms = if is_answered_at_once { 0.0 } else { self.watch_wait_ms(settings) };
         self.start_call(net, now_ms, wait_ms, settings)
     }
@@ -240,7 +241,6 @@
             is_reused: reusable.is_some(),
             is_connecting: reusable.is_none(),
         };
-        self.started_wait_ms = Some(wait_ms);
         let conn = if let Some(conn) = reusable {
             Ok(conn)
         } else {
@@ -255,6 +255,8 @@
             Err(_) => return self.on_failed(net, now_ms, settings, CallFailure::Local),
         };
         self.conn = Some(conn);
+        // Not before: a call that could not be made would count as one that is out.
+        self.started_wait_ms = Some(wait_ms);
         let target = match self.version {
             Some(version) => format!("/discovery/hosts?since={version}&timeout_ms={}", wait_ms as u64),
             None => "/discovery/hosts".to_string(),
@@ -329,7 +331,7 @@
             return self.on_failed(net, now_ms, &site.settings, CallFailure::Stale);
         }
         self.version = Some(list.version);
-        self.awaits_first_answer = false;
+        self.asks_at_once = false;
         self.watch = Watch::Pausing { deadline_ms: now_ms + WATCH_INTERVAL_MS };
         Some(DiscoveryUpdate::List { lines: list.lines, scope: list.scope })
     }
@@ -413,10 +415,12 @@
         match self.watch {
             // Guards against a watch that has fallen silent and is missed only when the router calls again: it is
             // asked anew at once, on a new connection. Watches of many end at unlike times, so that this is no rush.
+            // The next call is a step of its own, as it may fail in another way.
             Watch::Calling { deadline_ms, is_long_poll: true, .. } if deadline_ms <= now_ms => {
                 self.close(net);
-                let failure = self.start_call(net, now_ms, 0.0, settings);
-                Some(failure.unwrap_or(DiscoveryUpdate::Repeated(CallFailure::Silent)))
+                self.asks_at_once = true;
+                self.watch = Watch::Pausing { deadline_ms: now_ms };
+                Some(DiscoveryUpdate::Repeated(CallFailure::Silent))
             }
             Watch::Calling { deadline_ms, .. } if deadline_ms <= now_ms => {
                 self.on_failed(net, now_ms, settings, CallFailure::Silent)
--- a/src/frontend/discovery/tests.rs
+++ b/src/frontend/discovery/tests.rs
@@ -29,7 +29,7 @@
 #[test]
 fn a_call_that_could_not_be_made_is_not_out() {
     let (mut net, mut discovery, _events) = discovery();
-    discovery.awaits_first_answer = false;
+    discovery.asks_at_once = false;
     let update = discovery.call(&mut net, 1_000.0, &settings());
     assert!(matches!(update, Some(DiscoveryUpdate::Failed(CallFailure::Local))));
     assert_eq!(discovery.take_started_call(), None);
