Upgrade: what a process leaves last is read whole, whenever it comes

Cause: the line on the list and the list itself are two files, and were removed as they were read. The last line could come after its list had been taken with an earlier line, and a last line that came between the read and the removal of an earlier one was removed. Change: the line is moved away before it is read, and has the name of its process; the list stays until nothing more of it is wanted, and what another process has left there since is not removed.

--- a/src/frontend/handover.rs
+++ b/src/frontend/handover.rs
@@ -67,35 +67,47 @@
     std::fs::rename(&temporary, note.with_extension("memory"))
 }
 
-/// Reads what was left, `max_bytes` at most, and removes it: nobody else is to use it.
+/// Reads what was left, `max_bytes` at most. It stays: the line on its list may come later than it.
 ///
 /// # Errors
 /// Where there is no such file, or it cannot be read.
-pub fn take_warm_state(note: &Path, max_bytes: usize) -> std::io::Result<Vec<u8>> {
+pub fn read_warm_state(note: &Path, max_bytes: usize) -> std::io::Result<Vec<u8>> {
     use std::io::Read;
-    let path = note.with_extension("memory");
     let mut bytes = Vec::new();
-    std::fs::File::open(&path)?.take(max_bytes as u64).read_to_end(&mut bytes)?;
-    let _ = std::fs::remove_file(&path);
+    std::fs::File::open(note.with_extension("memory"))?.take(max_bytes as u64).read_to_end(&mut bytes)?;
     Ok(bytes)
 }
 
+/// Removes the state that was left: nobody else is to use it.
+pub fn remove_warm_state(note: &Path) {
+    let _ = std::fs::remove_file(note.with_extension("memory"));
+}
+
+/// Where a process says something of the list in the warm state that it has left.
+fn list_handover_path(note: &Path, pid: u32) -> PathBuf {
+    note.with_extension(format!("list.{pid}"))
+}
+
 /// Writes what this process says of the list in the warm state that it has left.
 ///
 /// # Errors
 /// Where the file cannot be written.
 pub fn write_list_handover(note: &Path, handover: ListHandover) -> std::io::Result<()> {
-    let temporary = note.with_extension(format!("list.{}", handover.pid));
+    let path = list_handover_path(note, handover.pid);
+    let temporary = path.with_extension(format!("{}.new", handover.pid));
     std::fs::write(&temporary, handover.to_string())?;
-    std::fs::rename(&temporary, note.with_extension("list"))
+    std::fs::rename(&temporary, path)
 }
 
 /// Reads what the process `pid` says of the list that it has left, and removes it. None where there is nothing of it.
 pub fn take_list_handover(note: &Path, pid: u32) -> Option<ListHandover> {
-    let path = note.with_extension("list");
-    let handover = ListHandover::parse(&read(&path).ok()??).filter(|handover| handover.pid == pid)?;
-    let _ = std::fs::remove_file(&path);
-    Some(handover)
+    // Moved away first: what is left while it is read must not be removed with it.
+    let path = list_handover_path(note, pid);
+    let taken = path.with_extension(format!("{pid}.taken"));
+    std::fs::rename(path, &taken).ok()?;
+    let text = read(&taken).ok()?;
+    let _ = std::fs::remove_file(&taken);
+    ListHandover::parse(&text?).filter(|handover| handover.pid == pid)
 }
 
 /// Whether another process that is alive left its note there after `since`. A note that does not read is named
--- a/src/frontend/http/state_handover.rs
+++ b/src/frontend/http/state_handover.rs
@@ -95,8 +95,19 @@
         classes.chain(&site.kinds).chain(&site.zones).cloned().collect()
     }
 
+    /// Removes what the process before has left, as nothing more of it is wanted. What another process has left there since
+    /// stays.
+    pub(super) fn remove_left_state(&self, pid: u32) {
+        let Some(links) = &self.links else { return };
+        handover::take_list_handover(links.note(), pid);
+        let left = self.read_warm_state(links.note(), pid);
+        if matches!(left, Ok(_) | Err(NoWarmState::Refused(WarmStateError::Stale(_)))) {
+            handover::remove_warm_state(links.note());
+        }
+    }
+
     fn read_warm_state(&self, note: &Path, pid: u32) -> Result<WarmStateFile, NoWarmState> {
-        let bytes = handover::take_warm_state(note, MAX_WARM_STATE_BYTES)?;
+        let bytes = handover::read_warm_state(note, MAX_WARM_STATE_BYTES)?;
         let now_ms = self.core.clock().now();
         Ok(WarmStateFile::decode(&bytes, pid, &self.warm_state_names(), now_ms)?)
     }
--- a/src/frontend/http/upgrade_link.rs
+++ b/src/frontend/http/upgrade_link.rs
@@ -335,14 +335,17 @@
         let Some(links) = &mut self.links else { return };
         let source = ListSource { pid, ask_at_ms: now_ms + LIST_INTERVAL_MS, answered_at_ms: now_ms };
         links.list_source = is_wanted.then_some(source);
+        if !is_wanted {
+            self.remove_left_state(pid);
+        }
     }
 
     /// Asks for the list of the process before where that is due, and no more once discovery has answered this one.
     fn sweep_list_source(&mut self, net: &mut Sockets, now_ms: f64) {
         let is_wanted = !self.core.has_read_list();
         let Some(links) = &mut self.links else { return };
-        if !is_wanted {
-            links.list_source = None;
+        if let Some(source) = links.list_source.take_if(|_| !is_wanted) {
+            return self.remove_left_state(source.pid);
         }
         let Some(source) = links.list_source.as_mut().filter(|source| source.ask_at_ms <= now_ms) else {
             return;
@@ -377,6 +380,7 @@
             && !self.core.has_read_list()
         {
             self.restore_list(pid, source.answered_at_ms);
+            self.remove_left_state(pid);
         }
         let Some(links) = &mut self.links else { return };
         let actions = links.forwarder.on_link_lost(pid, handover::is_alive(pid));
