--- a/src/frontend/discovery.rs
+++ b/src/frontend/discovery.rs
@@ -8,34 +8,23 @@
 //! | calling | a long poll is silent past its time | pausing for no time, then calling on a new connection |
 //! | calling | any other failure | off; with an agent, pausing |
 
+mod call_timing;
+mod update;
+
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use super::Sockets;
 use super::list_reader::parse_list;
-use crate::core::{Core, ListScope, ListedEndpoint, millis};
 use crate::net::ConnId;
 use crate::net::http;
-use crate::routing::{CallFailure, EndpointId, Settings};
+use crate::routing::{CallFailure, Settings};
 use crate::settings::Site;
 
-/// How long a call waits for news, in milliseconds: silence on it is noticed, and made good, before what it missed counts as
-/// told 6 s after it fell silent and is to be followed 2 s later.
-const WATCH_WAIT_MS: f64 = 5_000.0;
-/// How long a call that need not wait may take, in milliseconds: discovery works through calls in turn.
-const CALL_TIMEOUT_MS: f64 = 2_500.0;
-/// The same where dispatchers are many: a call that is given up takes discovery's time all the same.
-const LARGE_FLEET_CALL_TIMEOUT_MS: f64 = 3_500.0;
-/// A watch that has not answered this long after its wait was over has fallen silent, in milliseconds. What it missed counts
-/// as told 2 s after that wait and is to be followed 2 s later: by then the call that follows has had its time as well.
-const SILENCE_TIMEOUT_MS: f64 = 1_000.0;
-/// How long a call waits for news where an agent on this machine pushes lists, in milliseconds: it answers at once and at no
-/// cost. While discovery is down it is silent, and what it is told at the return counts as told at that moment.
-const AGENT_WAIT_MS: f64 = 1_000.0;
+pub use update::DiscoveryUpdate;
+
 /// How long a connection may take to come up, in milliseconds: until then nothing of the call was sent.
 const CONNECT_TIMEOUT_MS: f64 = 2_500.0;
-/// After this time beyond its wait a call to an agent has fallen silent, in milliseconds.
-const AGENT_SILENCE_TIMEOUT_MS: f64 = 500.0;
 /// Time between a failed call to an agent and the next, in milliseconds.
 const AGENT_RETRY_INTERVAL_MS: f64 = 200.0;
 /// A call on a reused connection that ends this soon has crossed its closing, in milliseconds: it was not read, and is made
@@ -45,13 +34,6 @@
 const MAX_STALE_ANSWERS: u32 = 1;
 /// Time between an answer and the next call of the watch, in milliseconds: a watch breaks after 200 ms.
 const WATCH_INTERVAL_MS: f64 = 40.0;
-/// Longest wait of a watch where dispatchers are many, in milliseconds: a watch that falls silent is missed until its wait is
-/// over. Discovery gets through the calls of all dispatchers in about 8 s, however many they are; so a third of its time is
-/// taken at the most.
-const MAX_WATCH_WAIT_MS: f64 = 20_000.0;
-/// Where dispatchers are many, waits grow with their number, so that all of them together begin one in so many of the calls
-/// that discovery gets through.
-const WAITS_PER_POLL: f64 = 3.0;
 /// A call that has been out for longer may have fallen silent, in milliseconds, and is given up where another is asked for.
 const MIN_CALL_AGE_MS: f64 = 1_000.0;
 
@@ -75,47 +57,6 @@
     },
 }
 
-/// What a call has brought.
-pub enum DiscoveryUpdate {
-    /// The list, or its changes.
-    List {
-        /// Its lines.
-        lines: Vec<ListedEndpoint>,
-        /// How much of the list they are.
-        scope: ListScope,
-    },
-    /// It failed. The router says when to call again.
-    Failed(CallFailure),
-    /// It failed, and is made again without being asked for.
-    Repeated(CallFailure),
-}
-
-impl DiscoveryUpdate {
-    /// Tells a core, and gives the endpoints that were started again, or have moved: their old connections are gone.
-    pub fn apply(self, core: &mut Core) -> Vec<EndpointId> {
-        let (lines, scope) = match self {
-            DiscoveryUpdate::List { lines, scope } => (lines, scope),
-            DiscoveryUpdate::Failed(failure) => {
-                core.on_list_failed(failure);
-                return Vec::new();
-            }
-            DiscoveryUpdate::Repeated(failure) => {
-                core.on_list_call_repeated(failure);
-                return Vec::new();
-            }
-        };
-        let renewed = |line: &ListedEndpoint| {
-            let id = core.endpoints().id(&line.name)?;
-            let old = &core.endpoints().get(id)?;
-            ((old.endpoint.started_at, &old.address) != (line.endpoint.started_at, &line.address))
-                .then_some(id)
-        };
-        let renewed = lines.iter().filter_map(renewed).collect();
-        core.on_list(lines, scope);
-        renewed
-    }
-}
-
 /// The one connection to discovery.
 pub struct Discovery {
     address: SocketAddr,
@@ -200,23 +141,11 @@
             self.close(net);
         }
         let is_answered_at_once = self.asks_at_once || self.version.is_none();
-        let wait_ms = if is_answered_at_once { 0.0 } else { self.watch_wait_ms(settings) };
+        let wait_ms =
+            if is_answered_at_once { 0.0 } else { call_timing::watch_wait_ms(settings, &mut self.rng) };
         self.start_call(net, now_ms, wait_ms, settings)
     }
 
-    /// How long a call may wait for news.
-    fn watch_wait_ms(&mut self, settings: &Settings) -> f64 {
-        if !settings.must_subscribe {
-            return AGENT_WAIT_MS;
-        }
-        if !settings.is_large_fleet() {
-            return WATCH_WAIT_MS;
-        }
-        let all = f64::from(settings.dispatchers) * millis(Settings::POLL_COST) * WAITS_PER_POLL;
-        // Guards against many dispatchers that come back at one time as nothing has changed for long.
-        all.min(MAX_WATCH_WAIT_MS) * (0.5 + 0.5 * self.rng.f64())
-    }
-
     /// Asks for what is newer than the version held, and lets the call wait so long for it.
     fn start_call(
         &mut self,
@@ -226,12 +155,7 @@
         settings: &Settings,
     ) -> Option<DiscoveryUpdate> {
         let is_long_poll = wait_ms > 0.0;
-        let timeout_ms = match (settings.must_subscribe, is_long_poll) {
-            (false, _) => AGENT_SILENCE_TIMEOUT_MS,
-            (true, true) => SILENCE_TIMEOUT_MS,
-            (true, false) if settings.is_large_fleet() => LARGE_FLEET_CALL_TIMEOUT_MS,
-            (true, false) => CALL_TIMEOUT_MS,
-        };
+        let timeout_ms = call_timing::silence_timeout_ms(settings, is_long_poll);
         let fresh = |id: &ConnId| net.conn(*id).is_some_and(|conn| conn.is_fresh());
         let reusable = self.conn.filter(fresh);
         self.watch = Watch::Calling {
@@ -290,7 +214,11 @@
             // Guards against a failure that is none: the call crossed the closing of a connection that was kept.
             Ok(None) if is_reused && now_ms < started_at_ms + CROSSED_CLOSE_MS => {
                 self.close(net);
-                let wait_ms = if is_long_poll { self.watch_wait_ms(&site.settings) } else { 0.0 };
+                let wait_ms = if is_long_poll {
+                    call_timing::watch_wait_ms(&site.settings, &mut self.rng)
+                } else {
+                    0.0
+                };
                 self.start_call(net, now_ms, wait_ms, &site.settings)
             }
             Ok(Some(message)) if message.status == 200 => {
--- a/src/frontend/http/upgrade_link.rs
+++ b/src/frontend/http/upgrade_link.rs
@@ -6,6 +6,8 @@
 //! names itself, and a link that came back to this process is opened anew. The older process keeps its end of a link until it
 //! ends, though it has stopped listening by then.
 
+mod connection;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -18,6 +20,8 @@
 use crate::net::ConnId;
 use crate::net::http::{self, Message};
 
+use connection::{LinkRequest, LinkState, RESPONSE_TIMEOUT_MS, UpgradeLink};
+
 /// Header in which a process names itself.
 pub(super) const PROCESS_HEADER: &str = "Lb-Process";
 /// Header in which a callback that is forwarded names who has been asked.
@@ -28,8 +32,6 @@
 pub(super) const WANTS_WARM_STATE: &str = "wanted";
 /// The list alone, again.
 pub(super) const WANTS_LIST: &str = "list";
-/// How long a process may take to respond on a link, in milliseconds.
-const RESPONSE_TIMEOUT_MS: f64 = 1000.0;
 /// Least time between two looks at the handover note, in milliseconds.
 const NOTE_INTERVAL_MS: f64 = 100.0;
 /// Time between an answer of the process before and the next request for its list, in milliseconds: several in the grace within
@@ -38,63 +40,6 @@
 /// Most processes that a callback names.
 const MAX_ASKED_PROCESSES: usize = 4;
 
-/// A connection that was opened to reach a process.
-struct UpgradeLink {
-    conn: ConnId,
-    pid: u32,
-    state: LinkState,
-    /// When it is to have responded, in milliseconds.
-    deadline_ms: f64,
-    /// Requests that were written and have no response, in order.
-    open_requests: VecDeque<LinkRequest>,
-}
-
-/// A request on a link that has reached its process.
-#[derive(Clone, Copy, PartialEq)]
-enum LinkRequest {
-    /// Tells it that the connection is a link, and may ask for its warm state.
-    Introduction {
-        /// When it was written, in milliseconds.
-        sent_at_ms: f64,
-    },
-    /// Asks it for the list that it follows.
-    List {
-        /// When it was written, in milliseconds.
-        sent_at_ms: f64,
-    },
-    /// Forwards a callback.
-    Callback,
-}
-
-/// How far a link has come.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum LinkState {
-    /// It is not known which process it reached.
-    Reaching,
-    /// It has reached its process, which is told that the connection is a link.
-    Introducing,
-    /// Its process knows it: callbacks pass.
-    Up,
-}
-
-impl UpgradeLink {
-    /// Writes a request. A full buffer ends the link: callbacks are repeated by their senders.
-    fn write(&mut self, net: &mut Sockets, now_ms: f64, request: LinkRequest, bytes: &[u8]) {
-        if self.open_requests.is_empty() || self.deadline_ms == f64::INFINITY {
-            self.deadline_ms = now_ms + RESPONSE_TIMEOUT_MS;
-        }
-        self.open_requests.push_back(request);
-        if !net.write(self.conn, bytes) {
-            self.deadline_ms = now_ms;
-        }
-    }
-
-    /// Whether a response is due on it.
-    fn awaits_response(&self) -> bool {
-        self.state == LinkState::Reaching || !self.open_requests.is_empty()
-    }
-}
-
 /// The links.
 pub(super) struct UpgradeLinks {
     forwarder: CallbackForwarder,
