--- a/src/routing/service_time.rs
+++ b/src/routing/service_time.rs
@@ -7,6 +7,7 @@
 use super::job_state::PendingJob;
 use super::router::Router;
 use super::types::{Job, Micros};
+use super::warm_state::is_figure;
 
 /// What of older runs still counts at each new one: some twenty are remembered, so that a machine that has
 /// slowed down shows.
@@ -35,7 +36,7 @@
 impl ServiceTime {
     /// Whether it can come of runs.
     pub(super) fn is_valid(&self) -> bool {
-        [self.run, self.work].iter().all(|figure| figure.is_finite() && *figure >= 0.0)
+        is_figure(self.run) && is_figure(self.work)
     }
 
     /// Takes in one run.
@@ -67,7 +68,7 @@
     /// Whether it can come of reports and runs.
     pub(super) fn is_valid(&self) -> bool {
         let figures = [self.slots, self.nominal_size, self.held, self.held_per_core];
-        figures.iter().all(|figure| figure.is_finite() && *figure >= 0.0) && self.service_time.is_valid()
+        figures.into_iter().all(is_figure) && self.service_time.is_valid()
     }
 
     /// Takes in a live size: the nominal one over 1 + requests held for each core. The highest seen is
--- a/src/routing/warm_state.rs
+++ b/src/routing/warm_state.rs
@@ -42,8 +42,20 @@
     endpoints: Vec<EndpointWarmState>,
 }
 
-fn is_figure(figure: f64) -> bool {
-    figure.is_finite() && figure >= 0.0
+/// Largest figure that can have been learned: a time of twelve days in microseconds, which sums of the clock bear,
+/// and more than any count or ratio.
+const MAX_FIGURE: f64 = 1e12;
+/// Most failures in a row that an endpoint can have had.
+const MAX_FAILURES: u32 = 1 << 30;
+
+/// Whether a figure that cannot be negative can have been learned.
+pub(super) fn is_figure(figure: f64) -> bool {
+    (0.0..=MAX_FIGURE).contains(&figure)
+}
+
+/// Whether one that can be can.
+fn is_signed_figure(figure: f64) -> bool {
+    is_figure(figure.abs())
 }
 
 impl EndpointWarmState {
@@ -62,7 +74,8 @@
     }
 
     fn is_valid(&self) -> bool {
-        self.slow_start_tokens.is_finite()
+        is_signed_figure(self.slow_start_tokens)
+            && self.consecutive_failures <= MAX_FAILURES
             && is_figure(self.queue_wait)
             && is_figure(self.latency_ratio)
             && self.service_time.is_valid()
@@ -80,7 +93,7 @@
             && self.mean_work.len() == classes
             && lists.chain(means).all(|&figure| is_figure(figure))
             && self.mean_run >= 1.0
-            && self.typical_excess.is_finite()
+            && is_signed_figure(self.typical_excess)
             && self.service_time.is_valid()
             && self.kinds.iter().all(KindEstimate::is_valid)
             && self.endpoints.iter().all(EndpointWarmState::is_valid)
