Rollout: a pause that comes too early does not make the member forget the latest one

A late copy of a pause that its leader had ended could be taken again: requests of that member wait until the leader ends it once more. Cause: Participant::on_pause forgot the latest pause where one came for a version that was not staged here yet, so that any older one counted as new. Change: a pause that cannot be taken yet changes nothing; it is greater than the latest when it is sent again.

--- a/src/rollout/participant.rs
+++ b/src/rollout/participant.rs
@@ -338,13 +338,11 @@
         if self.latest_pause.is_some_and(|latest| pause <= latest) {
             return;
         }
+        // One that arrives before the decision that staged its version is sent again.
         if self.is_staged(pause.version) && self.accepts(pause.version) {
             self.latest_pause = Some(pause);
             self.pause = PauseState::Requested(pause);
             self.effects.push(Effect::Pause(pause));
-        } else {
-            // It arrived before the decision that staged its version, and is sent again.
-            self.latest_pause = None;
         }
     }
 
@@ -370,3 +368,6 @@
     }
     document.map(|bytes| bytes.to_vec())
 }
+
+#[cfg(test)]
+mod tests;
