Pool: a connection past its idle limit is not taken as one that was just used

Found on rereading the mend of ending connections: where the newest idle connection to a server was past its limit, and not closed yet, take_unproven gave it out, and a request could cross the end that the limit is there for. Now it gives none that has been idle for 50 ms or more.

--- a/src/frontend/http/upstream.rs
+++ b/src/frontend/http/upstream.rs
@@ -55,7 +55,7 @@
             self.close_upstream(net, id);
         }
         // A rest of some milliseconds, once for each endpoint, is less than a new connection costs both sides.
-        if let Some((id, rests_until_ms)) = self.upstreams.pool.take_unproven(endpoint) {
+        if let Some((id, rests_until_ms)) = self.upstreams.pool.take_unproven(endpoint, now_ms) {
             if net.conn(id).is_some_and(|conn| conn.is_fresh()) {
                 self.reuse(id, endpoint, purpose, rests_until_ms);
                 return Ok(id);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -57,10 +57,12 @@
         Some(PooledConnection { conn: list.remove(at).0, idle_ms })
     }
 
-    /// Takes out the connection to a peer that was used last, though its end may be on the way. Gives the time as well from
-    /// which on it is known to be kept alive, if it is open then.
-    pub fn take_unproven(&mut self, peer: K) -> Option<(ConnId, f64)> {
-        let (conn, since) = self.idle.get_mut(&peer)?.pop()?;
+    /// Takes out the connection to a peer that was used last, where that was so short a time ago that its end may be on the
+    /// way. Gives the time as well from which on it is known to be kept alive, if it is open then.
+    pub fn take_unproven(&mut self, peer: K, now: f64) -> Option<(ConnId, f64)> {
+        let list = self.idle.get_mut(&peer)?;
+        let &(conn, since) = list.last().filter(|&&(_, since)| now - since < KEEP_ALIVE_PROOF_MS)?;
+        list.pop();
         Some((conn, since + KEEP_ALIVE_PROOF_MS))
     }
 
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -23,6 +23,17 @@
     assert_eq!(taken(&mut pool, 200.0, true), Some(7), "it is kept alive");
 }
 
+/// Guards against a connection past its idle limit that is taken as one that was just used.
+#[test]
+fn a_connection_that_was_just_used_says_when_it_has_outlived_its_response() {
+    let mut pool = pool();
+    pool.put(PEER, 7, 100.0);
+    assert_eq!(pool.take_unproven(PEER, 110.0), Some((7, 150.0)));
+    pool.put(PEER, 7, 200.0);
+    assert_eq!(pool.take_unproven(PEER, 60_000.0), None);
+    assert_eq!(taken(&mut pool, 60_000.0, false), None);
+}
+
 #[test]
 fn any_other_request_takes_the_newest() {
     let mut pool = pool();
