--- a/src/routing/warm_state.rs
+++ b/src/routing/warm_state.rs
@@ -42,8 +42,8 @@
     endpoints: Vec<EndpointWarmState>,
 }
 
-/// Largest figure that can have been learned: a time of twelve days in microseconds, which sums of the clock bear,
-/// and more than any count or ratio.
+/// Largest figure that can have been learned: a time of twelve days in microseconds, which sums of the clock
+/// bear, and more than any count or ratio.
 const MAX_FIGURE: f64 = 1e12;
 /// Most failures in a row that an endpoint can have had.
 const MAX_FAILURES: u32 = 1 << 30;
