Review: a second answer that comes late goes to the next request of the stream front

Seen: one answer of a backend server comes a second time 10 ms late. The stream front has used its connection again by then and relays the second copy as the next request's answer; from there on each answer on the connection goes to the wrong request, also to another owner's.

Code at fault: pool_or_close_upstream and acquire in src/frontend/streaming/upstream.rs.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -230,6 +230,51 @@
         self.folder.cleanup()
 
 
+class StreamFront:
+    """The program with its streaming front alone, by the deploy file's `run` and an operator's file."""
+
+    def __init__(self, record, name, table):
+        self.record, self.name = record, name
+        self.listen = f"127.0.0.1:{free_port()}"
+        self.folder = tempfile.TemporaryDirectory(prefix="review-")
+        operator = Path(self.folder.name) / "operator.toml"
+        operator.write_text(table.replace("LISTEN", self.listen))
+        self.log = open(Path(self.folder.name) / "log", "wb")
+        deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+        environment["TMPDIR"] = self.folder.name
+        command = f"{deploy['run']} --operator {operator}"
+        if not (ROOT / "target/release/micabeam").exists():
+            raise CannotRun("the deploy file's build has not been run")
+        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+                                        stdout=self.log, stderr=self.log)
+        record.line(name, f"started by `{deploy['run']} --operator FILE`, process {self.process.pid}, listens at {self.listen}")
+
+    @property
+    def address(self):
+        host, _, port = self.listen.rpartition(":")
+        return host, int(port)
+
+    def await_ready(self, limit=10):
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            if self.process.poll() is not None:
+                raise CannotRun(f"{self.name} ended with {self.process.returncode}")
+            try:
+                socket.create_connection(self.address, timeout=1).close()
+                return
+            except OSError:
+                time.sleep(0.02)
+        raise CannotRun(f"{self.name} does not listen after {limit} s")
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+        self.folder.cleanup()
+
+
 def submit(record, address, path, request_id, deadline_ms, body=b"{}", headers=(), owner="fraser-parks"):
     """Hands in one job as a client and waits for its answer. Returns (status, body), or (None, reason)."""
     host, port = address
@@ -307,7 +352,7 @@
         print(f"could not run: {error}", file=sys.stderr)
     finally:
         for part in reversed(keep):
-            part.end() if isinstance(part, Dispatcher) else part.close()
+            part.end() if hasattr(part, "end") else part.close()
     record.close()
     sys.stdout.flush()
     os._exit(verdict)
