--- a/review/1/case.py
+++ b/review/1/case.py
@@ -44,8 +44,8 @@
     load reports, refreshed each half second or more, do not show yet. So it hands back the first attempt of each job
     unstarted; then it has room again, and runs what comes."""
 
-    def __init__(self, record, name, runs):
-        self.record, self.name, self.runs = record, name, runs
+    def __init__(self, record, name, runs, to_lose):
+        self.record, self.name, self.runs, self.to_lose = record, name, runs, to_lose
         self.seen = set()
         self.running = 0
         self.full = False
@@ -83,9 +83,9 @@
         self.record.line(self.name, f"hands {job} back, unstarted")
         event = {"id": job, "from": self.name, "state": "returned", "load": self.load()}
         self.full = False
-        if self.lossy is not None:
-            lossy, self.lossy = self.lossy, None
-            call_back(self.record, self.name, lossy, event, tries=1, pause=RETRY_PAUSE)
+        if job in self.to_lose:
+            self.to_lose.remove(job)
+            call_back(self.record, self.name, self.lossy, event, tries=1, pause=RETRY_PAUSE)
             call_back(self.record, self.name, self.dispatcher, event, tries=9, pause=RETRY_PAUSE)
         else:
             call_back(self.record, self.name, self.dispatcher, event, pause=RETRY_PAUSE)
@@ -105,8 +105,8 @@
 
 
 def story(record, keep):
-    runs = []
-    workers = [BookingWorker(record, name, runs) for name in ("w-1", "w-2")]
+    runs, to_lose = [], set()
+    workers = [BookingWorker(record, name, runs, to_lose) for name in ("w-1", "w-2")]
     keep += workers
     kinds = ("large", "medium")
     hosts = [host_line(worker.name, worker.address, kind) for worker, kind in zip(workers, kinds)]
@@ -118,15 +118,16 @@
     link = LossyLink(record, dispatcher.address)
     keep.append(link)
     for worker in workers:
-        worker.dispatcher = dispatcher.listen
+        worker.dispatcher, worker.lossy = dispatcher.listen, link.address
     broken = []
     begin = time.monotonic()
     answers = {}
     for number in range(JOBS):
         job = f"5e9a{number:012x}"
         time.sleep(max(0.0, begin + number * INTERVAL_S - time.monotonic()))
-        # One answer is lost for each job: that to the `returned` of the first booking worker.
-        workers[0].lossy = link.address if TROUBLE else None
+        # One answer is lost for each job: that to its first `returned`.
+        if TROUBLE:
+            to_lose.add(job)
         answers[job] = submit(record, dispatcher.address, "/confirm-booking", job, 10000)
     time.sleep(RUN_S + 1.0)
     for job, (status, body) in answers.items():
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -175,10 +175,10 @@
 class Dispatcher:
     """One real dispatcher, started by the deploy file's `run` as the deployment page tells."""
 
-    def __init__(self, record, name, discovery, settings, known, arguments="", listen=None, console=False):
+    def __init__(self, record, name, discovery, settings, known):
         self.record = record
         self.name = name
-        self.listen = listen or f"127.0.0.1:{free_port()}"
+        self.listen = f"127.0.0.1:{free_port()}"
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         config = {"name": name, "listen": self.listen, "discovery": discovery, "seed": "5d1c9a7e40b2f683",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}
@@ -186,9 +186,10 @@
         self.config.write_text(json.dumps(config))
         self.log = open(Path(self.folder.name) / "log", "wb")
         deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
-        environment = {**os.environ, "LB_NAME": name, "LB_LISTEN": self.listen, "LB_DISCOVERY": discovery,
-                       "LB_CONFIG": str(self.config), "TMPDIR": self.folder.name}
-        command = f"{deploy['run']} {arguments}".strip()
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+        environment |= {"LB_NAME": name, "LB_LISTEN": self.listen, "LB_DISCOVERY": discovery,
+                        "LB_CONFIG": str(self.config), "TMPDIR": self.folder.name}
+        command = deploy["run"]
         if not (ROOT / "target/release/micabeam").exists():
             raise CannotRun("the deploy file's build has not been run")
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
@@ -218,10 +219,6 @@
             time.sleep(0.02)
         raise CannotRun(f"{self.name} was not ready in {limit} s")
 
-    def signal(self, number):
-        self.record.line(self.name, f"gets {signal.Signals(number).name}")
-        self.process.send_signal(number)
-
     def end(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -332,8 +329,13 @@
         reset(conn)
 
 
+def out_of_time(number, frame):
+    raise CannotRun("out of time")
+
+
 def play(folder, story):
     """Runs a story and ends the program with its verdict. A story returns the list of what broke the rule."""
+    signal.signal(signal.SIGTERM, out_of_time)
     record = Record(Path(folder) / "record.txt")
     record.line("case", f"TROUBLE={'1' if TROUBLE else '0'}")
     keep = []
@@ -347,9 +349,9 @@
         record.line("case", "the rule was broken" if broken else "the rule held")
         if not broken:
             print("held")
-    except CannotRun as error:
-        record.line("case", f"could not run: {error}")
-        print(f"could not run: {error}", file=sys.stderr)
+    except Exception as error:
+        record.line("case", f"could not run: {error!r}")
+        print(f"could not run: {error!r}", file=sys.stderr)
     finally:
         for part in reversed(keep):
             part.end() if hasattr(part, "end") else part.close()
