--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,13 +18,14 @@
 DRAIN_AT_S, GONE_AT_S, END_AT_S = 3.0, 21.5, 23.0
 # When the change counts as told at the latest, and until when jobs may still go to w-1, from the change on.
 TOLD_S, GRACE_S, SLACK_S = 6.0, 2.0, 0.05
-# One job in so many seconds, and how long one runs.
-PAUSE_S, RUN_S = 0.1, 0.9
+# One job in so many seconds, the two classes by turns, and how long a job of each runs.
+PAUSE_S = 0.07
+RUN_S = {"/avail-search": 0.4, "/confirm-booking": 1.5}
 
 SETTINGS = {
     "balancers": 2, "myNumber": 0, "myZone": 0, "quantum": 2000, "layer": 0, "tiers": ["booking-workers"],
     "membershipMode": "subscribe", "weightSource": "rough", "worthBy": "work", "workload": "jobs",
-    "zones": ["van-east"], "kinds": ["large", "medium"],
+    "zones": ["van-east"], "kinds": ["large", "medium", "small"],
     "tenants": [{"name": "fraser-parks", "quotaPerS": 37.0, "share": 1.0}],
     "grades": [
         {"name": "avail-search", "aim": 200000, "hardLimit": 5000000, "semantics": "retryable", "keyScope": "all",
@@ -74,11 +75,16 @@
         return answer
 
 
+# The booking workers: kind, slots and listed size. One of six drains: a rolling deploy has up to 19% at a time.
+WORKERS = {"w-1": ("large", 4, 2.0), "w-2": ("large", 4, 2.0), "w-3": ("medium", 2, 1.0), "w-4": ("medium", 2, 1.0),
+           "w-5": ("small", 3, 1.2), "w-6": ("small", 3, 1.2)}
+
+
 class BookingWorker(Server):
-    """A booking worker with six slots. It takes what comes, drains or not, and tells how each job ends."""
+    """A booking worker. It takes what comes, drains or not, and tells how each job ends."""
 
-    def __init__(self, record, name):
-        self.record, self.name = record, name
+    def __init__(self, record, name, slots):
+        self.record, self.name, self.slots = record, name, slots
         self.dispatcher = None
         self.sends = []
         self.running = {}
@@ -87,7 +93,7 @@
         super().__init__()
 
     def load(self):
-        return {"queue": 0, "latency_ms": RUN_S * 1000, "x0": max(0, 6 - len(self.running))}
+        return {"queue": 0, "latency_ms": 950, "x0": max(0, self.slots - len(self.running))}
 
     def answer(self, first, headers, body):
         if self.gone:
@@ -104,12 +110,12 @@
             self.sends.append((time.monotonic(), job, target))
             self.running[job] = target
         self.record.line(self.name, f"takes {target} {job}")
-        threading.Thread(target=self.run, args=(job,), daemon=True).start()
+        threading.Thread(target=self.run, args=(job, target), daemon=True).start()
         return response(202)
 
-    def run(self, job):
+    def run(self, job, target):
         call_back(self.record, self.name, self.dispatcher, {"id": job, "from": self.name, "state": "started"})
-        time.sleep(RUN_S)
+        time.sleep(RUN_S[target])
         with self.lock:
             if self.running.pop(job, None) is None:
                 return
@@ -130,10 +136,10 @@
 
 
 def story(record, keep):
-    workers = [BookingWorker(record, f"w-{number}") for number in (1, 2, 3)]
+    workers = [BookingWorker(record, name, slots) for name, (_, slots, _) in WORKERS.items()]
     keep += workers
-    kinds = ("large", "medium", "medium")
-    hosts = [host_line(worker.name, worker.address, kind) for worker, kind in zip(workers, kinds)]
+    hosts = [{**host_line(worker.name, worker.address, WORKERS[worker.name][0]), "share": WORKERS[worker.name][2]}
+             for worker in workers]
     discovery = SlowDiscovery(record, hosts)
     keep.append(discovery)
     dispatcher = Dispatcher(record, "n0", discovery.address, SETTINGS, discovery.whole())
