--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 from standins import (TROUBLE, Discovery, Dispatcher, LossyLink, Server, call_back, host_line, play, response, submit)
 
-# Jobs, one after another; all answers are lost within the 6 s for which the page's day loses them.
+# Jobs, one after another; all answers are lost within 6 s.
 JOBS = 3
 INTERVAL_S = 2.0
 # How long a booking worker waits before it makes an unanswered call again, in seconds.
