--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,156 +1,114 @@
-"""Case 8: a shared policy; requests that wait for the lease are dropped unanswered when silent clients connect by hundreds."""
+"""Case 8: streaming front; clients leave while their requests wait for a place, and the requests are sent on all the same."""
 import asyncio
 import os
 import random
-import socket
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
-from standins import (BC_BOOKINGS, TROUBLE, Client, Discovery, Worker, dispatcher_config, free_port, host,  # noqa: E402
-                      run_case, start_server, wait_until_up)
+from standins import TROUBLE, free_port, message, read_message, run_case, start_server, wait_for_port  # noqa: E402
 
-SECONDS = 24.0
-MEMBERS = 3
-# Requests a second at the dispatcher that stays.
-RATE = 15.0
-# When two of the three dispatchers are killed, and when silent clients connect, this many each time.
-KILL_S, CROWDS_S, CROWD = 5.0, (9.0, 13.0, 17.0), 200
-# A request that was sent so long before its connection ended has been read: the dispatcher is all but idle.
-READ_S = 0.1
-# Descriptors of the dispatcher: the least that the pages give.
-SOCKETS = 256
+SECONDS = 30.0
+SERVERS = 3
+CLIENTS = 10
+# Share of requests whose clients leave, and after how long.
+SHARE, LEAVES_S = 0.15, 0.2
+# An attempt that begins later after the close breaks the rule: the page's 0.1 s, and 50 ms on sockets.
+ALLOWED_S = 0.15
 
-POLICY = """version = 1
+OPERATOR = """
+[stream]
+listen = "127.0.0.1:{port}"
+connections = 64
+memory_mb = 16
+servers = [
+{servers}
+]
 
-[[partition]]
-name = "east"
-zones = ["van-east"]
+[stream.streams]
+total = 32
+tenant = 32
+server = 2
 
-[[rule]]
-name = "all"
-partition = "east"
-empty = "next"
-"""
-FLEET = """
-[fleet]
-cluster = "example"
-generation = 1
-name = "{name}"
-state = "{folder}/votes"
-zones = ["van-east"]
-slots = 4
-
-[rollout]
-policy = "{policy}"
-keep = "{folder}"
-lease_ms = 2000
-hold_ms = 400
+[[stream.class]]
+name = "season-export"
+repeat = "safe"
 
-[fleet.rules]
-close_after_ms = 600
-closed_for_ms = 5000
-step_ms = 1000
-forgive_ms = 60000
-keep_ms = 10000
-margin = 0.9
-"""
-MEMBER = """
-[[fleet.member]]
-name = "{name}"
-address = "127.0.0.1:{port}"
-zone = "van-east"
-voter = true
+[[stream.class]]
+name = "site-map"
+repeat = "never"
 """
 
 
-def free_udp_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+async def serve(case, rng, name, arrivals, reader, writer):
+    while (request := await read_message(reader)) is not None:
+        ident = request[1]["req-id"]
+        arrivals.append((case.record.now(), name, ident))
+        case.record.line(f"server {name} begins {ident}")
+        await asyncio.sleep(rng.uniform(0.3, 0.6))
+        writer.write(message("HTTP/1.1 200 OK", [("Content-Type", "text/plain")], f"made for {ident}".encode()))
+        await writer.drain()
 
 
-async def request(case, idle, address, ident, outcomes):
-    """A client takes a connection that it has, or opens one more if all are busy."""
-    for again in ("", "b"):
-        client = idle.pop() if idle else Client(case, address)
-        sent = case.record.now()
-        try:
-            status, _, _ = await asyncio.wait_for(client.send("site-hold", ident + again, 5000), 8)
-        except ConnectionRefusedError:
-            return
-        except (asyncio.TimeoutError, ConnectionError):
-            # The request was written, and the connection was reset or stays silent.
-            status = 0
-            client.close()
-        took = case.record.now() - sent
-        if client.writer is not None:
-            idle.append(client)
-        if status != 0 or took >= READ_S:
-            break
-        # The close may have crossed the request before it was read: the client sends it once more on a new connection.
-        case.record.line(f"client sends {ident} once more")
-    outcomes[ident] = status
-    if status == 0:
-        case.record.line(f"client got no answer for {ident}; its connection ended after {took:.3f} s")
+async def client(case, rng, number, port, until, counts, left):
+    loop, writer, sent = asyncio.get_running_loop(), None, 0
+    while loop.time() < until:
+        if writer is None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        sent += 1
+        kind = rng.choice(["season-export", "site-map"])
+        ident = f"c{number:02d}-{sent:05d}"
+        body = b"" if kind == "season-export" else b"map " * 200
+        method = "GET" if kind == "season-export" else "POST"
+        headers = [("Host", "origin.svc"), ("Req-Id", ident), ("Req-Owner", "fraser-parks")]
+        writer.write(message(f"{method} /{kind}/{sent} HTTP/1.1", headers, body))
+        case.record.line(f"client {number} sent {ident} ({kind})")
+        if TROUBLE and rng.random() < SHARE:
+            try:
+                answer = await asyncio.wait_for(read_message(reader), LEAVES_S)
+            except asyncio.TimeoutError:
+                writer.close()
+                await writer.wait_closed()
+                left[ident] = case.record.now()
+                case.record.line(f"client {number} closed its connection while it waited for {ident}")
+                writer = None
+                await asyncio.sleep(rng.uniform(0.0, 0.1))
+                continue
+        else:
+            answer = await read_message(reader)
+        status = 0 if answer is None else int(answer[0].split()[1])
+        case.record.line(f"client {number} got {status or 'no answer'} for {ident}")
+        counts[status] = counts.get(status, 0) + 1
+        if answer is None or answer[1].get("connection") == "close":
+            writer.close()
+            writer = None
+        await asyncio.sleep(rng.uniform(0.0, 0.1))
+    if writer is not None:
+        writer.close()
 
 
 async def play(case):
-    rng, outcomes, idle, tasks, silent = random.Random(61), {}, [], [], []
-    listens = [("127.0.0.1", free_port()) for _ in range(MEMBERS)]
-    udp = [free_udp_port() for _ in range(MEMBERS)]
-    workers = [Worker(case, f"s-{n}", listens[0], lambda ident: 0.2, slots=4) for n in range(4)]
-    for worker in workers:
-        await worker.start()
-    hosts = [host(w.name, w.port) for w in workers]
-    policy = case.write("policy.toml", POLICY)
-    members = "".join(MEMBER.format(name=f"n{n}", port=port) for n, port in enumerate(udp))
-    processes = []
-    for number, listen in enumerate(listens):
-        port, name = free_port(), f"n{number}"
-        await start_server(Discovery(hosts).serve, port)
-        folder = case.path(f"keep-{name}")
-        os.makedirs(folder)
-        operator = case.write(f"{name}.toml", FLEET.format(name=name, folder=folder, policy=policy) + members)
-        settings = {**BC_BOOKINGS, "balancers": MEMBERS, "myNumber": number}
-        env = dispatcher_config(case, name, listen, port, hosts, settings, sockets=SOCKETS)
-        processes.append(case.start(name, f"--operator {operator}", env))
-    for listen in listens:
-        await asyncio.to_thread(wait_until_up, listen)
-    loop = asyncio.get_running_loop()
-    begin, sent, killed, crowds = loop.time(), 0, False, list(CROWDS_S)
-    while loop.time() < begin + SECONDS:
-        await asyncio.sleep(rng.expovariate(RATE))
-        sent += 1
-        tasks.append(asyncio.create_task(request(case, idle, listens[0], f"r{sent:04d}", outcomes)))
-        if TROUBLE and not killed and loop.time() > begin + KILL_S:
-            for process in processes[1:]:
-                process.kill()
-            killed = True
-            case.record.line("n1 and n2 are killed")
-        if TROUBLE and crowds and loop.time() > begin + crowds[0]:
-            crowds.pop(0)
-            came = 0
-            for _ in range(CROWD):
-                try:
-                    silent.append(await asyncio.open_connection(*listens[0]))
-                    came += 1
-                except OSError:
-                    pass
-            case.record.line(f"{came} clients connected and say nothing")
-    await asyncio.gather(*tasks)
-    if processes[0].poll() is not None:
-        case.record.line("n0 has ended")
-    lost = sorted(ident for ident, status in outcomes.items() if status == 0)
-    for ident in lost:
-        case.record.line(f"LOST: {ident} was taken and its connection ended without an answer")
-    counts = {}
-    for status in outcomes.values():
-        counts[status] = counts.get(status, 0) + 1
-    summary = f"answers by status {counts}, lost {len(lost)}"
+    rng, arrivals, counts, left = random.Random(61), [], {}, {}
+    ports = [free_port() for _ in range(SERVERS)]
+    for number, server_port in enumerate(ports):
+        def handler(reader, writer, name=f"exports-{number}"):
+            return serve(case, rng, name, arrivals, reader, writer)
+        await start_server(handler, server_port)
+    listed = "".join(f'  {{ name = "exports-{n}", dial = "127.0.0.1:{p}" }},\n' for n, p in enumerate(ports))
+    port = free_port()
+    operator = case.write("operator.toml", OPERATOR.format(port=port, servers=listed))
+    case.start("streams", f"--operator {operator}")
+    await asyncio.to_thread(wait_for_port, ("127.0.0.1", port))
+    until = asyncio.get_running_loop().time() + SECONDS
+    await asyncio.gather(*(client(case, rng, n, port, until, counts, left) for n in range(CLIENTS)))
+    await asyncio.sleep(3)
+    late = [(at - left[ident], name, ident) for at, name, ident in arrivals if ident in left and at > left[ident] + ALLOWED_S]
+    for after, name, ident in late:
+        case.record.line(f"BEGUN FOR NOBODY: {ident} at {name}, {after:.2f} s after its client had gone")
+    summary = f"answers by status {counts}, clients that left {len(left)}, begun later than {ALLOWED_S} s after that {len(late)}"
     case.record.line(summary)
     print(summary)
-    return bool(lost)
+    return bool(late)
 
 
 run_case(HERE, lambda case: asyncio.run(play(case)))
