--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod list_reader;
 pub mod operator;
+mod refusals;
 pub mod shutdown;
 pub mod streaming;
 
--- a/src/frontend/streaming/answers.rs
+++ b/src/frontend/streaming/answers.rs
@@ -5,6 +5,7 @@
 use super::transfer::{BodyRelay, Relayed};
 use crate::flow::{Direction, StreamId, Turn, TurnResult};
 use crate::frontend::Sockets;
+use crate::frontend::refusals::is_refusal;
 use crate::net::body::{Decoder, Framing};
 use crate::net::head::{self, ResponseHead};
 use crate::net::{MAX_BUFFERED_BYTES, Pipe, http};
@@ -46,6 +47,7 @@
             return;
         }
         exchange.response_deadline = f64::INFINITY;
+        self.counters.relayed_refusals += u64::from(is_refusal(response.status));
         let bytes = head::write_response(response, framing, stated_length, exchange.closes_client);
         let done = decoder.is_done();
         let closes_upstream = response.close || !matches!(exchange.request, RequestPhase::Done);
--- a/src/frontend/streaming/counters.rs
+++ b/src/frontend/streaming/counters.rs
@@ -25,6 +25,8 @@
     /// Endpoints given up because they transferred no byte for too long, or did not begin the response in
     /// time.
     pub silent_servers: u64,
+    /// Refusals (429 and 503) of endpoints that were relayed to their clients.
+    pub relayed_refusals: u64,
     /// Bytes of requests written to endpoints during relays.
     pub bytes_up: u64,
     /// Bytes of responses written to clients during relays.
@@ -56,6 +58,7 @@
             ("silent_clients", self.silent_clients),
             ("slow_servers", self.slow_servers),
             ("silent_servers", self.silent_servers),
+            ("relayed_refusals", self.relayed_refusals),
             ("bytes_up", self.bytes_up),
             ("bytes_down", self.bytes_down),
         ];
