Stream front: a refusal without proof is relayed only if the request may run twice

Cause: the front relayed each status of a server as it came. A refusal also says that the request may be sent again, and only a server that adds Srv-Declined: 1 has said that it never ran.

Change: a 429 or 503 without that header is relayed only where the core might reject the job itself (Core::rejection_is_safe, by which the router's own rejections go now too). Else the attempt ends: as Error (503) or Unknown (429, which is no failure of the server, and ejected none before), and the client gets 502; as Unreachable if no byte of the request was written, so that it may go elsewhere. This works since every status, body form and interim response passes on_response_head, the one place that forwards a final head. Refusals that prove that nothing ran, and classes that may run twice, are answered as before. The reading of Srv-Declined stood in both HTTP fronts, and stands once now. unproven_refusals counts the 502.

--- a/src/frontend/http/attempts.rs
+++ b/src/frontend/http/attempts.rs
@@ -4,9 +4,10 @@
 
 use super::HttpFrontend;
 use super::upstream::{
-    AttemptId, AttemptState, ConnectionUse, MAX_CANCEL_TRIES, RESPONSE_TIMEOUT_MS, WritePermission, declines,
+    AttemptId, AttemptState, ConnectionUse, MAX_CANCEL_TRIES, RESPONSE_TIMEOUT_MS, WritePermission,
 };
 use crate::frontend::Sockets;
+use crate::frontend::refusals::proves_never_ran;
 use crate::net::ConnId;
 use crate::net::http::{self, Message};
 use crate::routing::{EndpointId, JobId, LoadReport, Outcome};
@@ -188,7 +189,9 @@
                     attempt.conn = None;
                 }
             }
-            _ if declines(message) => self.end_unserved(id, Outcome::Full, report),
+            _ if proves_never_ran(message.status, &message.headers) => {
+                self.end_unserved(id, Outcome::Full, report);
+            }
             // A client error is the request's fault and not the endpoint's, except for 408, 425 and 429,
             // which depend on timing and rate.
             400..500 if !matches!(message.status, 408 | 425 | 429) => {
--- a/src/frontend/http/upstream.rs
+++ b/src/frontend/http/upstream.rs
@@ -9,6 +9,7 @@
 
 use super::HttpFrontend;
 use crate::frontend::Sockets;
+use crate::frontend::refusals::proves_never_ran;
 use crate::net::ConnId;
 use crate::net::http::{self, Message};
 use crate::routing::{EndpointId, LoadReport, Outcome};
@@ -174,7 +175,8 @@
         let now_ms = self.core.clock().now();
         let Some(connection) = self.upstreams.connections.get_mut(&id) else { return };
         let (endpoint, purpose) = (connection.endpoint, connection.purpose);
-        let is_declined = matches!(purpose, ConnectionUse::Attempt(_)) && declines(message);
+        let is_declined = matches!(purpose, ConnectionUse::Attempt(_))
+            && proves_never_ran(message.status, &message.headers);
         if is_declined {
             connection.purpose = ConnectionUse::CoolingDown;
             connection.deadline_ms = now_ms + COOL_DOWN_MS;
@@ -278,8 +280,3 @@
         }
     }
 }
-
-/// Whether a response says that the endpoint declined the attempt and never ran it.
-pub(super) fn declines(message: &Message) -> bool {
-    matches!(message.status, 503 | 504) && message.header("srv-declined") == Some("1")
-}
--- a/src/frontend/streaming/answers.rs
+++ b/src/frontend/streaming/answers.rs
@@ -5,7 +5,7 @@
 use super::transfer::{BodyRelay, Relayed};
 use crate::flow::{Direction, StreamId, Turn, TurnResult};
 use crate::frontend::Sockets;
-use crate::frontend::refusals::is_refusal;
+use crate::frontend::refusals::{TOO_MANY_REQUESTS, is_refusal, proves_never_ran};
 use crate::net::body::{Decoder, Framing};
 use crate::net::head::{self, ResponseHead};
 use crate::net::{MAX_BUFFERED_BYTES, Pipe, http};
@@ -19,12 +19,11 @@
     /// Handles the head of a final response: forwards it to the client, or ends the attempt.
     pub(super) fn on_response_head(&mut self, net: &mut Sockets, stream: StreamId, response: &ResponseHead) {
         let now = self.now();
+        if let Some(outcome) = self.outcome_of_refusal(net, stream, response) {
+            return self.end_attempt(net, stream, outcome);
+        }
         let Some(exchange) = self.exchanges.get_mut(&stream) else { return };
         let (Some(job), Some(Upstream { conn, .. })) = (exchange.job, exchange.upstream) else { return };
-        let declined = http::header_value(&response.headers, "srv-declined") == Some("1");
-        if declined && matches!(response.status, 503 | 504) && exchange.prefix.is_some() {
-            return self.end_attempt(net, stream, Outcome::Full);
-        }
         let Ok(decoder) = Decoder::new(response.framing, exchange.class_rules.max_body_bytes) else {
             return self.end_attempt(net, stream, Outcome::NoRetry);
         };
@@ -72,6 +71,31 @@
         }
     }
 
+    /// Returns how an attempt ends whose endpoint refused the request, or `None` if the response is to be
+    /// forwarded. The client of a refused request sends it again, so a refusal without proof is not forwarded
+    /// if the request must not run twice.
+    fn outcome_of_refusal(
+        &mut self,
+        net: &mut Sockets,
+        stream: StreamId,
+        response: &ResponseHead,
+    ) -> Option<Outcome> {
+        let exchange = self.exchanges.get(&stream)?;
+        if proves_never_ran(response.status, &response.headers) {
+            // The request can be sent again, unless a part of it is no longer buffered.
+            return exchange.prefix.is_some().then_some(Outcome::Full);
+        }
+        if !is_refusal(response.status) || self.core.rejection_is_safe(exchange.job?) {
+            return None;
+        }
+        if !self.is_attempt_written(net, stream) {
+            return Some(Outcome::Unreachable);
+        }
+        self.counters.unproven_refusals += 1;
+        // A limit on requests concerns the client or its tenant, so the endpoint has not failed.
+        Some(if response.status == TOO_MANY_REQUESTS { Outcome::Unknown } else { Outcome::Error })
+    }
+
     /// Relays a part of a response body, in a turn of the downward channel.
     pub(super) fn relay_response(&mut self, net: &mut Sockets, turn: Turn) -> usize {
         let (now, stream) = (self.now(), turn.stream);
--- a/src/frontend/streaming/counters.rs
+++ b/src/frontend/streaming/counters.rs
@@ -27,6 +27,8 @@
     pub silent_servers: u64,
     /// Refusals (429 and 503) of endpoints that were relayed to their clients.
     pub relayed_refusals: u64,
+    /// Refusals of endpoints that were not relayed: the request may have run, and must not run again.
+    pub unproven_refusals: u64,
     /// Bytes of requests written to endpoints during relays.
     pub bytes_up: u64,
     /// Bytes of responses written to clients during relays.
@@ -59,6 +61,7 @@
             ("slow_servers", self.slow_servers),
             ("silent_servers", self.silent_servers),
             ("relayed_refusals", self.relayed_refusals),
+            ("unproven_refusals", self.unproven_refusals),
             ("bytes_up", self.bytes_up),
             ("bytes_down", self.bytes_down),
         ];
--- a/src/frontend/streaming/upstream.rs
+++ b/src/frontend/streaming/upstream.rs
@@ -189,15 +189,19 @@
         }
     }
 
-    /// Ends an attempt whose connection failed before the response. The request certainly has not run only if
-    /// none of its bytes was written, because an HTTP server may start processing at the first byte.
+    /// Ends an attempt whose connection failed before the response.
     fn on_upstream_broken(&mut self, net: &mut Sockets, stream: StreamId) {
-        let id = self.exchanges.get(&stream).and_then(|e| e.upstream).map(|upstream| upstream.conn);
-        let Some(id) = id else { return };
-        let sent_before_attempt = self.upstreams.get(&id).map_or(0, |s| s.sent_before_attempt);
-        let sent = net.conn(id).map_or(0, |c| c.sent);
-        let outcome = if sent > sent_before_attempt { Outcome::Reset } else { Outcome::Unreachable };
-        self.end_attempt(net, stream, outcome);
+        let is_written = self.is_attempt_written(net, stream);
+        self.end_attempt(net, stream, if is_written { Outcome::Reset } else { Outcome::Unreachable });
+    }
+
+    /// Whether a byte of the current attempt was written to its connection. Only if none was, the request
+    /// certainly has not run, because an HTTP server may start processing at the first byte.
+    pub(super) fn is_attempt_written(&self, net: &mut Sockets, stream: StreamId) -> bool {
+        let exchange = self.exchanges.get(&stream);
+        let Some(id) = exchange.and_then(|e| e.upstream).map(|upstream| upstream.conn) else { return true };
+        let (Some(upstream), Some(conn)) = (self.upstreams.get(&id), net.conn(id)) else { return true };
+        conn.sent > upstream.sent_before_attempt
     }
 
     pub(super) fn expire_upstreams(&mut self, net: &mut Sockets, now: f64) {
--- a/src/routing/retries.rs
+++ b/src/routing/retries.rs
@@ -156,12 +156,10 @@
     /// Ends a job that is not served: with a rejection if its client may safely retry it, else with a
     /// failure.
     pub(super) fn give_up(&mut self, id: JobId, out: &mut Vec<Action>) {
-        let Some(pending) = self.jobs.get(&id) else { return };
-        let may_repeat = match self.settings.classes[pending.job.class].idempotency {
-            Idempotency::Idempotent | Idempotency::Keyed { scope: DeduplicationScope::All, .. } => true,
-            Idempotency::Keyed { .. } | Idempotency::NotIdempotent => pending.first_possible_run().is_none(),
-        };
-        out.push(if may_repeat {
+        if !self.jobs.contains_key(&id) {
+            return;
+        }
+        out.push(if self.rejection_is_safe(id) {
             Action::Reject { job: id, retry_after: RETRY_AFTER }
         } else {
             Action::Fail { job: id }
@@ -169,6 +167,16 @@
         self.remove_job(id, out);
     }
 
+    /// Returns whether a pending job may be rejected now. The client of a rejected job sends it again, so it
+    /// must never have run, or must be one that any endpoint may run again. An attempt in flight may have run.
+    pub fn rejection_is_safe(&self, id: JobId) -> bool {
+        let Some(pending) = self.jobs.get(&id) else { return false };
+        match self.settings.classes[pending.job.class].idempotency {
+            Idempotency::Idempotent | Idempotency::Keyed { scope: DeduplicationScope::All, .. } => true,
+            Idempotency::Keyed { .. } | Idempotency::NotIdempotent => pending.first_possible_run().is_none(),
+        }
+    }
+
     /// Removes a job that is over, and cancels its attempts that are still in flight.
     pub(super) fn remove_job(&mut self, id: JobId, out: &mut Vec<Action>) {
         let Some(mut pending) = self.jobs.remove(&id) else { return };
