Gearman front: a worker's warning cannot deny a job that may have run

On this front a denial is the warning "denied retry-after-ms=N" before WORK_FAIL. Warnings of workers were passed on as they came, so that a worker which ran an unsafe job, sent those words and failed (or left) made its client take the job for one that never ran, and submit it again.

Change: for a job that the core might not reject now (Core::rejection_is_safe) such a warning is dropped; other words, and warnings of jobs that may run twice, are passed on as before. The text stands once, in denial.rs.

--- a/src/frontend/gearman/clients.rs
+++ b/src/frontend/gearman/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: submission of jobs, delivery of answers, and answers from the record to jobs that are submitted
 //! again.
 
+use super::denial::denial_text;
 use super::packets::{arguments, kind, reply};
 use super::record::{Answer, Entry};
 use super::{GearmanFrontend, Job};
@@ -194,7 +195,7 @@
         match final_answer {
             FinalAnswer::Served(result) => self.send(net, id, reply(kind::WORK_COMPLETE, &[handle, result])),
             FinalAnswer::Rejected { retry_after_ms: retry_after } => {
-                let text = format!("denied retry-after-ms={}", retry_after.ceil());
+                let text = denial_text(*retry_after);
                 self.send(net, id, reply(kind::WORK_WARNING, &[handle, text.as_bytes()]));
                 self.send(net, id, reply(kind::WORK_FAIL, &[handle]));
             }
--- a/src/frontend/gearman/mod.rs
+++ b/src/frontend/gearman/mod.rs
@@ -12,6 +12,7 @@
 mod admin;
 mod clients;
 mod config;
+mod denial;
 pub mod identity;
 pub mod packets;
 mod peers;
--- a/src/frontend/gearman/workers.rs
+++ b/src/frontend/gearman/workers.rs
@@ -16,6 +16,7 @@
 
 use rustc_hash::FxHashMap;
 
+use super::denial::reads_as_denial;
 use super::packets::{arguments, kind, reply};
 use super::record::Key;
 use super::{AttemptId, GearmanFrontend};
@@ -313,6 +314,10 @@
     /// Forwards a worker's progress packet to the clients of a job that is assigned to it and not abandoned.
     fn on_progress(&mut self, net: &mut Sockets, id: ConnId, packet_kind: u32, fields: &[&[u8]]) {
         let Some(job_id) = Self::job_of_handle(fields[0]) else { return };
+        // Only the core rejects jobs: by a worker's words, a client would submit a job again that may have run.
+        if reads_as_denial(packet_kind, fields) && !self.core.rejection_is_safe(job_id) {
+            return;
+        }
         if self.worker(id).and_then(|w| w.assigned.get(&job_id)).is_some_and(|a| !a.is_abandoned) {
             self.forward(net, job_id, packet_kind, fields);
         }
--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -133,6 +133,32 @@
     assert_eq!(worker.fetch().unwrap().0, handle);
 }
 
+/// Guards against a second run by the client's retry: a worker's warning that reads as a denial was relayed although the job had
+/// been assigned and must not run again.
+#[test]
+fn warning_of_a_worker_denies_no_job_that_must_not_run_twice() {
+    const DENIAL: &str = "denied retry-after-ms=0";
+    let (_program, address) = gearman("");
+    let mut client = Gear::connect(address);
+    for (function, is_safe) in [("confirm", false), ("search", true)] {
+        let mut worker = Gear::worker(address, &[function]);
+        let handle = client.submit(function, "", "site 12");
+        assert_eq!(worker.fetch().unwrap().0, handle);
+        for text in ["denied by the bank", DENIAL] {
+            worker.send(kind::WORK_WARNING, &[&handle, text]);
+        }
+        assert_eq!(client.expect(kind::WORK_WARNING), [handle.as_str(), "denied by the bank"]);
+        if is_safe {
+            assert_eq!(client.expect(kind::WORK_WARNING), [handle.as_str(), DENIAL]);
+            worker.send(kind::WORK_COMPLETE, &[&handle, ""]);
+            client.expect(kind::WORK_COMPLETE);
+        } else {
+            worker.send(kind::WORK_FAIL, &[&handle]);
+            assert_eq!(client.expect(kind::WORK_FAIL), [handle.as_str()]);
+        }
+    }
+}
+
 /// Guards against a job without an end when its worker is silent, and against a second run after its failure.
 #[test]
 fn job_at_a_silent_worker_fails_at_its_deadline_and_is_not_repeated() {
