Core: a reload does not change whether an open job may run twice

A job that came as one that must not run twice, and was sent as such, was sent again after a reset, or rejected with 503 at its deadline, once SIGHUP had made its class one that may run twice: the router looked the class up in the settings in force.

Change: the router keeps a job's idempotency from its arrival (PendingJob), and the Gearman front does the same for what it records. Jobs that come after the reload follow the new settings, as before.

--- a/src/frontend/gearman/clients.rs
+++ b/src/frontend/gearman/clients.rs
@@ -98,7 +98,10 @@
         };
         match self.core.submit(request) {
             Ok(job_id) => {
-                self.jobs.insert(job_id, Job::new(function_index, unique, key.clone(), data));
+                let class = &self.config.site.settings.classes[function_index];
+                let is_idempotent = class.idempotency == Idempotency::Idempotent;
+                let job = Job::new(function_index, is_idempotent, unique, key.clone(), data);
+                self.jobs.insert(job_id, job);
                 if let Some(key) = key {
                     self.record.start(key, job_id);
                 }
@@ -157,16 +160,14 @@
     pub(super) fn on_final_answer(&mut self, net: &mut Sockets, job_id: JobId, final_answer: &FinalAnswer) {
         let Some(job) = self.jobs.remove(&job_id) else { return };
         let handle = Self::handle(job_id);
-        let is_not_idempotent =
-            self.config.site.settings.classes[job.function].idempotency != Idempotency::Idempotent;
         // The entry of an idempotent job may be evicted at any time, because the job can run again.
-        let keep_until = self.core.clock().now() + if is_not_idempotent { self.config.keep_ms } else { 0.0 };
+        let keep_until = self.core.clock().now() + if job.is_idempotent { 0.0 } else { self.config.keep_ms };
         if let Some(key) = &job.key {
             match final_answer {
                 FinalAnswer::Served(result) => {
                     self.record.finish(key, handle.clone(), Answer::Complete(result.clone()), keep_until);
                 }
-                FinalAnswer::Failed if is_not_idempotent && job.was_assigned => {
+                FinalAnswer::Failed if !job.is_idempotent && job.was_assigned => {
                     self.record.finish(key, handle.clone(), Answer::Failed, keep_until);
                 }
                 _ => self.record.forget(key),
--- a/src/frontend/gearman/mod.rs
+++ b/src/frontend/gearman/mod.rs
@@ -67,6 +67,8 @@
 /// A job without a final answer.
 struct Job {
     function: usize,
+    /// Whether the job may run more than once, by the settings in force at its submission.
+    is_idempotent: bool,
     unique: Vec<u8>,
     key: Option<Key>,
     data: Vec<u8>,
@@ -79,9 +81,10 @@
 }
 
 impl Job {
-    fn new(function: usize, unique: &[u8], key: Option<Key>, data: &[u8]) -> Job {
+    fn new(function: usize, is_idempotent: bool, unique: &[u8], key: Option<Key>, data: &[u8]) -> Job {
         Job {
             function,
+            is_idempotent,
             unique: unique.to_vec(),
             key,
             data: data.to_vec(),
--- a/src/routing/job_state.rs
+++ b/src/routing/job_state.rs
@@ -1,7 +1,7 @@
 //! State kept for a job and its attempts until the job's final answer.
 
 use super::endpoint_state::EndpointIndex;
-use super::types::{HoldReason, Job, Micros};
+use super::types::{HoldReason, Idempotency, Job, Micros};
 
 /// One attempt of a job at an endpoint.
 #[derive(Debug)]
@@ -78,6 +78,9 @@
 #[derive(Debug)]
 pub(super) struct PendingJob {
     pub(super) job: Job,
+    /// Whether the job may run more than once. It stays as it was on arrival if a configuration reload changes
+    /// it for the job's class.
+    pub(super) idempotency: Idempotency,
     pub(super) arrived_at: Micros,
     /// Key of the job in the queue of held jobs.
     pub(super) held_key: Micros,
@@ -97,9 +100,16 @@
 
 impl PendingJob {
     /// Creates a job that has just arrived. Its search begins at `next_position` in the subset.
-    pub(super) fn new(job: Job, arrived_at: Micros, cycle: usize, next_position: usize) -> PendingJob {
+    pub(super) fn new(
+        job: Job,
+        idempotency: Idempotency,
+        arrived_at: Micros,
+        cycle: usize,
+        next_position: usize,
+    ) -> PendingJob {
         PendingJob {
             job,
+            idempotency,
             arrived_at,
             held_key: 0,
             cycle,
--- a/src/routing/overflow.rs
+++ b/src/routing/overflow.rs
@@ -44,13 +44,13 @@
     pub(super) fn on_job(&mut self, now: Micros, mut job: Job, out: &mut Vec<Action>) {
         job.class = job.class.min(self.settings.classes.len().saturating_sub(1));
         let class = &self.settings.classes[job.class];
-        let late_value = class.late_value;
+        let (idempotency, late_value) = (class.idempotency, class.late_value);
         let objective_at = (now + class.latency_objective) as f64;
         let cycle = self.cycles.iter().position(|cycle| cycle.kind == class.kind).unwrap_or(0);
         let answer_by = job.deadline.saturating_sub(self.settings.quantum);
         self.timers.set(answer_by, Timer::Deadline { job: job.id });
         let next_position = self.next_scheduled(now, cycle);
-        let mut pending = PendingJob::new(job, now, cycle, next_position);
+        let mut pending = PendingJob::new(job, idempotency, now, cycle, next_position);
         // After this time, no endpoint can finish the job within its objective.
         let order = self.cycles[cycle].order.iter();
         let quickest = order.map(|&endpoint| self.service_time(endpoint)).fold(f64::MAX, f64::min);
@@ -230,7 +230,6 @@
         };
         endpoint_state.on_send(in_flight, pending.job.slots);
         out.push(Action::Send { job: id, endpoint: endpoint_state.listed.id });
-        let class = pending.job.class;
-        self.set_start_timeout(now, id, class, attempt);
+        self.set_start_timeout(now, id, attempt);
     }
 }
--- a/src/routing/retries.rs
+++ b/src/routing/retries.rs
@@ -20,8 +20,7 @@
     /// Returns whether a job may not simply be retried if its connection breaks, because it may have run.
     /// Such a job is not sent on a connection that the endpoint may already be closing.
     pub fn is_harmed_by_reset(&self, id: JobId) -> bool {
-        let class = self.jobs.get(&id).map(|pending| &self.settings.classes[pending.job.class]);
-        class.is_some_and(|class| class.idempotency != Idempotency::Idempotent)
+        self.jobs.get(&id).is_some_and(|pending| pending.idempotency != Idempotency::Idempotent)
     }
 
     /// Returns whether a job may be sent to an endpoint now.
@@ -67,7 +66,7 @@
     ) -> bool {
         let possible_run = pending.attempts[..attempts].iter().find(|attempt| !attempt.never_ran);
         let Some(first_run) = possible_run else { return true };
-        match self.settings.classes[pending.job.class].idempotency {
+        match pending.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NotIdempotent => false,
             Idempotency::Keyed { scope, window } => {
@@ -83,11 +82,12 @@
     }
 
     /// Sets the time by which an attempt that is sent now has to start, if cancelling it does no harm.
-    pub(super) fn set_start_timeout(&mut self, now: Micros, id: JobId, class: usize, attempt: usize) {
-        let class = &self.settings.classes[class];
+    pub(super) fn set_start_timeout(&mut self, now: Micros, id: JobId, attempt: usize) {
+        let Some(pending) = self.jobs.get(&id) else { return };
+        let class = &self.settings.classes[pending.job.class];
         let capabilities = &self.settings.capabilities;
         let cancel_frees = capabilities.may_cancel && capabilities.cancel_frees_slot;
-        let is_idempotent = class.idempotency == Idempotency::Idempotent;
+        let is_idempotent = pending.idempotency == Idempotency::Idempotent;
         if !self.settings.reports_start || !cancel_frees || !is_idempotent {
             return;
         }
@@ -132,9 +132,8 @@
             out.push(Action::Fail { job: id });
             return self.remove_job(id, out);
         }
-        let idempotency = self.settings.classes[pending.job.class].idempotency;
         let must_not_rerun =
-            idempotency == Idempotency::NotIdempotent && pending.first_possible_run().is_some();
+            pending.idempotency == Idempotency::NotIdempotent && pending.first_possible_run().is_some();
         let no_attempts_left = pending.attempts.len() >= self.settings.capabilities.max_attempts;
         let no_time_left = now + self.settings.quantum >= pending.job.deadline;
         pending.wait_again();
@@ -171,7 +170,7 @@
     /// must never have run, or must be one that any endpoint may run again. An attempt in flight may have run.
     pub fn rejection_is_safe(&self, id: JobId) -> bool {
         let Some(pending) = self.jobs.get(&id) else { return false };
-        match self.settings.classes[pending.job.class].idempotency {
+        match pending.idempotency {
             Idempotency::Idempotent | Idempotency::Keyed { scope: DeduplicationScope::All, .. } => true,
             Idempotency::Keyed { .. } | Idempotency::NotIdempotent => pending.first_possible_run().is_none(),
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -163,6 +163,33 @@
     assert_eq!((core.open_jobs(), core.counters().sent), (0, 1));
 }
 
+/// Guards against a second run after a reload: a class that became idempotent made its open jobs, which were sent as jobs that
+/// must not run twice, be sent again or rejected.
+#[test]
+fn a_reload_does_not_change_whether_an_open_job_may_run_twice() {
+    let reloaded = net::SETTINGS.replace("fragile", "retryable");
+    for is_cut_off_by_deadline in [false, true] {
+        let (mut core, clock) = core(10, &["a", "b"]);
+        let open = core.submit(request(1, 400.0)).unwrap();
+        assert_eq!(commands(&mut core).len(), 1);
+        core.reconfigure(Site::parse(reloaded.as_bytes()).unwrap(), 10);
+        assert!(!core.rejection_is_safe(open));
+        if is_cut_off_by_deadline {
+            clock.set(START + 400.0);
+            core.tick();
+        } else {
+            core.on_attempt_ended(open, 0, Outcome::Reset, LoadReport::default(), Vec::new());
+        }
+        assert_eq!(answers(&commands(&mut core)), [(open, FinalAnswer::Failed)]);
+        assert_eq!(core.counters().sent, 1);
+        let later = core.submit(request(1, 4000.0)).unwrap();
+        assert!(
+            core.rejection_is_safe(later),
+            "a job that arrives after the reload follows the new settings"
+        );
+    }
+}
+
 #[test]
 fn each_event_of_a_scripted_run_is_counted_once() {
     use micabeam::telemetry::Disposition::*;
