Stream front: its own responses are one type

Status, text and advice of the front's own responses stood as numbers and strings at each place; the texts on bodies stood three times, and status_of returned one that nobody read. Statuses, texts and headers are as before.

--- a/src/frontend/streaming/clients.rs
+++ b/src/frontend/streaming/clients.rs
@@ -3,11 +3,12 @@
 
 use super::StreamingFrontend;
 use super::exchange::{Exchange, RequestPhase};
+use super::rejection::Rejection;
 use crate::flow::{Direction, DispatchCondition, HeldRequest, StreamId};
 use crate::frontend::Sockets;
-use crate::net::body::{BodyError, Decoder};
+use crate::net::body::Decoder;
 use crate::net::head::{self, RequestHead};
-use crate::net::http::{self, MAX_HEAD_BYTES, MessageError};
+use crate::net::http::{self, MAX_HEAD_BYTES};
 use crate::net::{ConnId, MAX_BUFFERED_BYTES};
 
 /// How long a lingering close waits for the client to close its side after the last response, in
@@ -122,12 +123,7 @@
                 Ok(None) if more => continue,
                 Ok(None) => {}
                 Err(error) => {
-                    let status = match error {
-                        MessageError::Malformed => 400,
-                        MessageError::TooLarge => 413,
-                        MessageError::Unsupported => 501,
-                    };
-                    self.reject_unread(net, id, status, "the request does not read\n");
+                    self.reject_unread(net, id, Rejection::UnreadableHead(error));
                 }
             };
         }
@@ -135,38 +131,35 @@
 
     /// Rejects a request whose body was not read, and closes the connection, since the body would be read as
     /// the next request.
-    fn reject_unread(&mut self, net: &mut Sockets, id: ConnId, status: u16, body: &str) {
+    fn reject_unread(&mut self, net: &mut Sockets, id: ConnId, rejection: Rejection) {
         self.counters.rejected_unread += 1;
-        self.reply(net, id, status, 0.0, body, true);
+        self.reply(net, id, rejection, true);
     }
 
     fn on_request_head(&mut self, net: &mut Sockets, id: ConnId, head: RequestHead) {
         let now = self.now();
         let name = head.target.split(['/', '?']).nth(1).unwrap_or("");
         let Some(class) = self.config.table.class.iter().position(|c| c.name == name) else {
-            return self.reject_unread(net, id, 404, "no such class\n");
+            return self.reject_unread(net, id, Rejection::UnknownClass);
         };
         if REJECTED_METHODS.contains(&head.method.as_str()) {
-            return self.reject_unread(net, id, 405, "no such method here\n");
+            return self.reject_unread(net, id, Rejection::MethodNotAllowed);
         }
         let class_rules = &self.config.classes[class];
         let decoder = match Decoder::new(head.framing, class_rules.max_body_bytes) {
             Ok(decoder) => decoder,
-            Err(BodyError::TooLong) => {
-                return self.reject_unread(net, id, 413, "the body is longer than its class allows\n");
-            }
-            Err(_) => return self.reject_unread(net, id, 400, "the body does not read\n"),
+            Err(error) => return self.reject_unread(net, id, error.into()),
         };
         let tenant =
             http::header_value(&head.headers, &self.config.table.tenant_header).unwrap_or("").to_string();
         if self.has_stopped_accepting() {
-            return self.reply(net, id, 503, 0.0, "stopping\n", true);
+            return self.reply(net, id, Rejection::Stopping, true);
         }
-        if let Err(error) = self.admission.enter(&tenant) {
+        if let Err(limit) = self.admission.enter(&tenant) {
             self.counters.rejected_full += 1;
             let close = !decoder.is_done();
             let retry_after_ms = self.config.table.retry_after_s * 1e3;
-            return self.reply(net, id, 503, retry_after_ms, &format!("{error}\n"), close);
+            return self.reply(net, id, Rejection::AtLimit { limit, retry_after_ms }, close);
         }
         // With `Expect: 100-continue` a client sends no body before the endpoint asks for it, so there
         // is no prefix to wait for.
@@ -196,22 +189,15 @@
     }
 
     /// Sends one of the frontend's own responses to a client that has no exchange, or whose exchange was
-    /// removed. `retry_after_ms` becomes the `Retry-After` header; 0 omits the header.
-    pub(super) fn reply(
-        &mut self,
-        net: &mut Sockets,
-        id: ConnId,
-        status: u16,
-        retry_after_ms: f64,
-        body: &str,
-        close: bool,
-    ) {
+    /// removed.
+    pub(super) fn reply(&mut self, net: &mut Sockets, id: ConnId, rejection: Rejection, close: bool) {
         let close = close || self.has_stopped_accepting();
         let mut headers = vec![("Content-Type", "text/plain".to_string())];
-        if retry_after_ms > 0.0 {
+        if let Some(retry_after_ms) = rejection.retry_after_ms() {
             headers.push(("Retry-After", format!("{}", (retry_after_ms / 1e3).ceil())));
         }
-        if !net.write(id, &http::write_response(status, &headers, body.as_bytes(), close)) {
+        let body = rejection.text();
+        if !net.write(id, &http::write_response(rejection.status(), &headers, body.as_bytes(), close)) {
             return self.disconnect_client(net, id);
         }
         if close { self.start_lingering_close(net, id) } else { self.set_client_idle(net, id) }
@@ -287,7 +273,7 @@
         for (id, state) in expired {
             match state {
                 ClientState::ReadingHead => {
-                    self.reject_unread(net, id, 408, "the request's head took too long\n");
+                    self.reject_unread(net, id, Rejection::SlowHead);
                 }
                 _ => self.disconnect_client(net, id),
             }
@@ -317,7 +303,7 @@
             crate::flow::HoldDecision::Dispatch => self.submit_job(net, stream),
             crate::flow::HoldDecision::GiveUp => {
                 self.counters.slow_clients += 1;
-                self.reject(net, stream, 408, 0.0);
+                self.reject(net, stream, Rejection::SlowBody);
             }
         }
     }
--- a/src/frontend/streaming/endings.rs
+++ b/src/frontend/streaming/endings.rs
@@ -2,6 +2,7 @@
 
 use super::StreamingFrontend;
 use super::exchange::{Exchange, RequestPhase, Upstream};
+use super::rejection::Rejection;
 use crate::flow::{Direction, Side, StreamId};
 use crate::frontend::Sockets;
 use crate::net::body::Framing;
@@ -61,22 +62,14 @@
 
     /// Ends an exchange with a response of the frontend's own. If the endpoint's response has already begun,
     /// the client connection is closed such that the client recognizes the response as incomplete.
-    /// `retry_after_ms` becomes the `Retry-After` header; 0 omits the header.
-    pub(super) fn reject(&mut self, net: &mut Sockets, stream: StreamId, status: u16, retry_after_ms: f64) {
+    pub(super) fn reject(&mut self, net: &mut Sockets, stream: StreamId, rejection: Rejection) {
         if self.exchanges.get(&stream).is_some_and(|e| e.is_complete) {
             return self.finish(net, stream);
         }
         let Some(exchange) = self.remove(net, stream) else { return };
         let Some(response) = exchange.response else {
-            let body = match status {
-                400 => "the body does not read\n",
-                408 => "too slow\n",
-                413 => "the body is longer than its class allows\n",
-                503 => "denied\n",
-                _ => "failed\n",
-            };
             let close = exchange.closes_client || !exchange.decoder.is_done();
-            return self.reply(net, exchange.client, status, retry_after_ms, body, close);
+            return self.reply(net, exchange.client, rejection, close);
         };
         self.counters.aborted += 1;
         if response.framing == Framing::UntilClose
@@ -100,7 +93,7 @@
             self.counters.count_failed_peer(&failed_peer);
             let is_client = (failed_peer.direction == Direction::Up) == (failed_peer.side == Side::Source);
             if is_client {
-                self.reject(net, failed_peer.stream, 408, 0.0);
+                self.reject(net, failed_peer.stream, Rejection::SlowBody);
             } else {
                 self.end_attempt(net, failed_peer.stream, Outcome::TimedOut);
             }
@@ -121,7 +114,8 @@
         streams.sort_unstable();
         for stream in streams {
             let was_accepted = self.exchanges.get(&stream).is_some_and(|e| e.job.is_some());
-            self.reject(net, stream, if was_accepted { 502 } else { 503 }, 0.0);
+            let not_sent = Rejection::Denied { retry_after_ms: 0.0 };
+            self.reject(net, stream, if was_accepted { Rejection::Failed } else { not_sent });
         }
     }
 }
--- a/src/frontend/streaming/mod.rs
+++ b/src/frontend/streaming/mod.rs
@@ -15,6 +15,7 @@
 mod counters;
 mod endings;
 mod exchange;
+mod rejection;
 mod relay;
 mod table;
 mod transfer;
@@ -35,6 +36,7 @@
 pub use config::{Config, ConfigError, Table};
 use counters::Counters;
 use exchange::Exchange;
+use rejection::Rejection;
 use upstream::UpstreamConnection;
 
 /// Bytes that one tick transfers before the event loop polls the sockets again. It bounds how long small
@@ -238,10 +240,10 @@
         let Some(&stream) = self.streams.get(&job) else { return };
         match answer {
             FinalAnswer::Served(_) => self.finish(net, stream),
-            FinalAnswer::Rejected { retry_after_ms: retry_after } => {
-                self.reject(net, stream, 503, *retry_after);
+            &FinalAnswer::Rejected { retry_after_ms } => {
+                self.reject(net, stream, Rejection::Denied { retry_after_ms });
             }
-            FinalAnswer::Failed => self.reject(net, stream, 502, 0.0),
+            FinalAnswer::Failed => self.reject(net, stream, Rejection::Failed),
         }
     }
 
--- a/src/frontend/streaming/relay.rs
+++ b/src/frontend/streaming/relay.rs
@@ -3,20 +3,14 @@
 
 use super::StreamingFrontend;
 use super::exchange::{RequestPhase, RequestProgress, Upstream};
+use super::rejection::Rejection;
 use super::transfer::{BodyRelay, Relayed, extend_prefix};
 use crate::core::{FinalAnswer, JobRequest};
 use crate::flow::{Direction, StreamId, Turn, TurnResult};
 use crate::frontend::Sockets;
-use crate::net::body::{BodyError, Framing};
+use crate::net::body::Framing;
 use crate::net::{Pipe, Pipes};
 
-/// Returns the status and the text with which a request is rejected whose body is malformed or too long.
-fn status_of(error: BodyError) -> (u16, &'static str) {
-    match error {
-        BodyError::TooLong => (413, "the body is longer than its class allows\n"),
-        _ => (400, "the body does not read\n"),
-    }
-}
 impl StreamingFrontend {
     /// Submits a request to the core as a job. The core commands an attempt, or rejects the job.
     pub(super) fn submit_job(&mut self, net: &mut Sockets, stream: StreamId) {
@@ -36,10 +30,10 @@
                 exchange.job = Some(job);
                 self.streams.insert(job, stream);
             }
-            Err(FinalAnswer::Rejected { retry_after_ms: retry_after }) => {
-                self.reject(net, stream, 503, retry_after);
+            Err(FinalAnswer::Rejected { retry_after_ms }) => {
+                self.reject(net, stream, Rejection::Denied { retry_after_ms });
             }
-            Err(_) => self.reject(net, stream, 502, 0.0),
+            Err(_) => self.reject(net, stream, Rejection::Failed),
         }
     }
 
@@ -87,8 +81,7 @@
         let Relayed { read, more, blocked, full } = match relayed {
             Ok(relayed) => relayed,
             Err(error) => {
-                let (status, _) = status_of(error);
-                self.reject(net, stream, status, 0.0);
+                self.reject(net, stream, error.into());
                 return 0;
             }
         };
@@ -130,7 +123,7 @@
             }
             // An incomplete body must not look complete to the endpoint: its connection is closed before the
             // end of the message, and the client gets an error.
-            RequestProgress::Truncated => self.reject(net, stream, 400, 0.0),
+            RequestProgress::Truncated => self.reject(net, stream, Rejection::MalformedBody),
         }
     }
 
@@ -178,12 +171,11 @@
         let (broken, ended) = (conn.broken, conn.eof);
         self.flow.on_turn_finished(turn, TurnResult { read, more, held, ..TurnResult::default() }, now);
         if let Some(error) = error {
-            let (status, _) = status_of(error);
-            self.reject(net, stream, status, 0.0);
+            self.reject(net, stream, error.into());
         } else if broken {
             self.on_client_left(net, stream);
         } else if ended && !done {
-            self.reject(net, stream, 400, 0.0);
+            self.reject(net, stream, Rejection::MalformedBody);
         } else {
             self.dispatch_if_ready(net, stream, now);
         }
