--- a/tests/gearman.rs
+++ b/tests/gearman.rs
@@ -74,6 +74,29 @@
     assert_eq!(client.expect(kind::WORK_COMPLETE), [handle.as_str(), "booked"]);
 }
 
+/// Guards against a second run of an unsafe job by its client's resubmission, after a reload made its class safe: its failure was
+/// not recorded.
+#[test]
+fn failure_of_an_unsafe_job_is_recorded_although_a_reload_made_its_class_safe() {
+    let config = |settings: &str| {
+        format!(
+            r#"{{"listen": "127.0.0.1:0", "settings": {settings},
+                "functions": {{"confirm": {{"class": "confirm-booking"}}}}}}"#
+        )
+    };
+    let mut program = net::Program::start(None, Some(&config(net::SETTINGS)));
+    let address = program.read_address();
+    let (mut worker, mut client) = (Gear::worker(address, &["confirm"]), Gear::connect(address));
+    let handle = client.submit("confirm", "u1", "site 12");
+    assert_eq!(worker.fetch().unwrap().0, handle);
+    let reloaded = config(&net::SETTINGS.replace("fragile", "retryable"));
+    assert_eq!(program.reload(1, &reloaded), "micabeam: the configuration was read again\n");
+    worker.send(kind::WORK_FAIL, &[&handle]);
+    assert_eq!(client.expect(kind::WORK_FAIL), [handle.as_str()]);
+    assert_eq!(client.submit("confirm", "u1", "site 12"), handle);
+    assert_eq!(client.expect(kind::WORK_FAIL), [handle.as_str()]);
+}
+
 /// Guards against connections that stay open although their peers send nothing or an incomplete packet.
 #[test]
 fn connection_without_a_complete_first_packet_is_closed() {
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -208,6 +208,19 @@
     assert_eq!(counted, [1, 1, 0], "{log}");
 }
 
+/// Guards against a reload that makes a class safe and thereby lets a refusal of a request pass that came before it.
+#[test]
+fn reload_does_not_let_an_unproven_refusal_of_an_open_request_pass() {
+    let (listener, server) = listener();
+    let (mut program, address) = start(&[server], "", "");
+    let (mut client, mut backend) = CASES[3].send("once", address, &[&listener]);
+    let reloaded = operator_file(&[server], "", "").replace("repeat = \"never\"", "repeat = \"safe\"");
+    assert_eq!(program.reload(2, &reloaded), "micabeam: the configuration was read again\n");
+    backend.write("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    assert!(client.read_head().starts_with("HTTP/1.1 502"));
+    assert_no_connection(&listener);
+}
+
 /// Guards against counters that do not tell a relayed refusal from one that was turned into a failure.
 #[test]
 fn relayed_and_unproven_refusals_are_counted() {
