--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod endpoint_list;
 mod endpoint_table;
 mod hold_counts;
+mod inspection;
 mod job;
 mod jobs;
 mod list_status;
@@ -43,9 +44,8 @@
 pub use traffic_split::{Admission, TrafficEvent};
 pub use zone_traffic::ZoneLoad;
 
-use crate::routing::{Action, AttemptEnd, Event, JobId, ListFreshness, LoadReport, Outcome, WarmState};
+use crate::routing::{Action, AttemptEnd, Event, JobId, ListFreshness, LoadReport, Outcome};
 use crate::settings::Site;
-use crate::telemetry::{Gauges, Telemetry};
 use jobs::Jobs;
 use routers::Routers;
 use stages::admit::{AdmissionLimits, ShutdownDeadline};
@@ -289,63 +289,6 @@
         self.limits.is_stopping = true;
     }
 
-    /// Returns the learned state of the router for all endpoints.
-    pub fn warm_state(&self) -> WarmState {
-        self.routers.router(ALL_ENDPOINTS).warm_state()
-    }
-
-    /// Returns the number of jobs without a final answer.
-    pub fn open_jobs(&self) -> usize {
-        self.jobs.len()
-    }
-
-    /// Returns an open job.
-    pub fn job(&self, id: JobId) -> Option<&ActiveJob> {
-        self.jobs.get(id)
-    }
-
-    /// Returns the endpoint table.
-    pub fn endpoints(&self) -> &EndpointTable {
-        &self.endpoints
-    }
-
-    /// Returns the settings in use.
-    pub fn site(&self) -> &Site {
-        &self.site
-    }
-
-    /// Returns the clock.
-    pub fn clock(&self) -> &Clock {
-        &self.clock
-    }
-
-    /// Returns the counters.
-    pub fn counters(&self) -> &Counters {
-        &self.statistics.counters
-    }
-
-    /// Returns the counters behind the metrics.
-    pub fn telemetry(&self) -> &Telemetry {
-        &self.statistics.telemetry
-    }
-
-    /// Returns how often jobs began to wait in the dispatcher, by reason.
-    pub fn holds(&self) -> HoldCounts {
-        self.statistics.holds
-    }
-
-    /// Returns the current gauges: open jobs, listed endpoints, and listed endpoints that get no jobs.
-    pub fn gauges(&self) -> Gauges {
-        let (now, listed) = (micros(self.clock.now()), self.endpoints.listed());
-        let router = self.routers.router(ALL_ENDPOINTS);
-        let unavailable = listed.iter().filter(|entry| router.is_unavailable(now, entry.endpoint.id)).count();
-        Gauges {
-            pending: self.jobs.len() as u64,
-            members: listed.len() as u64,
-            members_unavailable: unavailable as u64,
-        }
-    }
-
     /// Returns the partition that a job is restricted to.
     fn partition_of(&self, job: JobId) -> PartitionId {
         self.jobs.get(job).map_or(ALL_ENDPOINTS, |job| job.request.partition)
