--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -250,8 +250,8 @@
         self.routers.router(self.partition_of(job)).is_harmed_by_reset(job)
     }
 
-    /// Whether a job without a final answer may be rejected now, or an endpoint's rejection of it relayed: its
-    /// client will send it again. An attempt that has not ended may have run.
+    /// Whether a job without a final answer may be rejected now, or an endpoint's rejection of it relayed:
+    /// its client will send it again. An attempt that has not ended may have run.
     pub fn rejection_is_safe(&self, job: JobId) -> bool {
         self.routers.router(self.partition_of(job)).rejection_is_safe(job)
     }
--- a/src/frontend/gearman/workers.rs
+++ b/src/frontend/gearman/workers.rs
@@ -314,7 +314,8 @@
     /// Forwards a worker's progress packet to the clients of a job that is assigned to it and not abandoned.
     fn on_progress(&mut self, net: &mut Sockets, id: ConnId, packet_kind: u32, fields: &[&[u8]]) {
         let Some(job_id) = Self::job_of_handle(fields[0]) else { return };
-        // Only the core rejects jobs: by a worker's words, a client would submit a job again that may have run.
+        // Only the core rejects jobs. A client that took a worker's words for a rejection would submit a job
+        // again that may have run.
         if reads_as_denial(packet_kind, fields) && !self.core.rejection_is_safe(job_id) {
             return;
         }
--- a/src/frontend/streaming/rejection.rs
+++ b/src/frontend/streaming/rejection.rs
@@ -7,8 +7,8 @@
 
 /// Why the frontend responds to a request itself.
 ///
-/// A client sends a request again that was answered with 503. So `Stopping`, `AtLimit` and `Denied` are only for
-/// requests that never ran, or that may run twice.
+/// A client sends a request again that was answered with 503. So `Stopping`, `AtLimit` and `Denied` are only
+/// for requests that never ran, or that may run twice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Rejection {
     /// The head is malformed, too large or of an unsupported form.
--- a/src/routing/job_state.rs
+++ b/src/routing/job_state.rs
@@ -78,8 +78,8 @@
 #[derive(Debug)]
 pub(super) struct PendingJob {
     pub(super) job: Job,
-    /// Whether the job may run more than once. It stays as it was on arrival if a configuration reload changes
-    /// it for the job's class.
+    /// Whether the job may run more than once. It stays as it was on arrival if a configuration reload
+    /// changes it for the job's class.
     pub(super) idempotency: Idempotency,
     pub(super) arrived_at: Micros,
     /// Key of the job in the queue of held jobs.
--- a/src/routing/retries.rs
+++ b/src/routing/retries.rs
@@ -166,8 +166,9 @@
         self.remove_job(id, out);
     }
 
-    /// Returns whether a pending job may be rejected now. The client of a rejected job sends it again, so it
-    /// must never have run, or must be one that any endpoint may run again. An attempt in flight may have run.
+    /// Returns whether a pending job may be rejected now. The client of a rejected job sends it again, so
+    /// it must never have run, or must be one that any endpoint may run again. An attempt in flight may have
+    /// run.
     pub fn rejection_is_safe(&self, id: JobId) -> bool {
         let Some(pending) = self.jobs.get(&id) else { return false };
         match pending.idempotency {
