--- a/tests/common/wire.rs
+++ b/tests/common/wire.rs
@@ -1,4 +1,5 @@
 //! Scripted clients and servers of the streaming frontend, which write and read raw HTTP/1.1.
+// No test file uses all of it.
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
